Count units given back after a refusal as not taken

A request beyond its quota is taken and, when the answer refuses it, given back. Customer.take() added its units to the plan's taken[] on the way in and nothing on the way back, while told[] went down by them. With 1.4 to 1.9 tries a request, most of them refused, told/taken fell to 0.1 to 0.4, and learn() divides the others' news by it: a calm customer's use through other nodes looked up to ten times as large, and it was refused with its quota half unused.

The new test fails on the old text (10 wrong refusals).

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -392,8 +392,9 @@
 
         void take(double units) {
             if (plan.rate() > 0) {
-                taken[place] = 0.99 * taken[place] + Math.max(0, units);
-                told[place] *= 0.99;
+                // Given back is not taken: counted, it made the others' use look many times as large.
+                taken[place] = (units > 0 ? 0.99 : 1) * taken[place] + units;
+                told[place] *= units > 0 ? 0.99 : 1;
                 unpushed += units;
                 store -= units;
                 usedAt = now;
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -415,4 +415,31 @@
         assertTrue(host.logs.stream().noneMatch(line -> line.contains("silent")), "" + host.logs);
         assertTrue(calls > 300, calls + " calls in 30 s");
     }
+
+    /** Units asked for and refused once passed for use untold, and with it the others' use for ten times as much. */
+    @Test
+    void whatOneCustomerIsRefusedDoesNotMakeTheUseOfAnotherLookLarger() {
+        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 3, 0).servers(20);
+        for (int i = 0; i < 400; i++) {
+            host.request(SAFE, 0, 1, 1, host.now + 900 * MS);
+            answerWithOthers(host, 0);
+            host.pass(10 * MS);
+        }
+        assertTrue(host.refused.size() > 200, "far beyond its quota");
+        int before = host.refused.size();
+        for (int i = 0; i < 10; i++) {
+            host.request(SAFE, 0, 2, 1, host.now + 900 * MS);
+            // The others have used 9 units of 30.
+            answerWithOthers(host, 9);
+        }
+        assertEquals(before, host.refused.size(), "half of its quota is unused");
+    }
+
+    private static void answerWithOthers(Host host, double others) {
+        List<Host.Counted> made = List.copyOf(host.counted);
+        host.counted.clear();
+        for (Host.Counted call : made) {
+            host.gateway.counted(host.now, call.name(), Outcome.OK, call.amount() + others);
+        }
+    }
 }
