Judge the slowest tenth for the concurrency level by 30 answers at least

At fault in Control.interval() and steerLevel(): the tenth slowest of one second's answers, which at one of many nodes is the second slowest of ten. Answers are now kept over seconds until there are 30. Ruled out: refusals for quota (logged apart) and servers turning requests away (0 to 9 of 1,800).

The new test has 17 in flight on the old text, 26 now.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -39,6 +39,8 @@
     private static final double INVERSE_UNIT = 10;
     /** Actuation penalties (the level's loop is the slower), and the least part of each: no class starves. */
     private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7, MIN_SHARE = 0.02, MIN_LEVEL = 0.25;
+    /** Of fewer answers the slowest tenth is one or two by chance: one of many gateways waits for these. */
+    private static final int LEVEL_ANSWERS = 30;
     /** Weight of an answer in a server's averages; memory, in seconds, of these and of the others' use. */
     private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3;
     /** How long what may come back is remembered: a customer after its last use, a server after its end. */
@@ -724,7 +726,7 @@
             for (Lane lane : lanes) {
                 lane.arrivals = lane.good = 0;
                 lane.latencySum = lane.waitSum = 0;
-                lane.services.clear();
+                if (lane.services.size() >= LEVEL_ANSWERS) { lane.services.clear(); }
             }
         }
 
@@ -793,7 +795,7 @@
 
         /** Sets concurrency so that slow answers of the tightest class come within its aim less its wait. */
         private void steerLevel() {
-            Lane tight = Arrays.stream(lanes).filter(lane -> !lane.services.isEmpty())
+            Lane tight = Arrays.stream(lanes).filter(lane -> lane.services.size() >= LEVEL_ANSWERS)
                 .min(Comparator.comparingLong(lane -> lane.spec.aim())).orElse(null);
             if (tight == null) { return; }
             double[] sorted = tight.services.stream().mapToDouble(x -> x).sorted().toArray();
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -467,4 +467,22 @@
         }
         return calls;
     }
+
+    /** Ten answers come in a second at one of many gateways: two that are late there are no slow back end. */
+    @Test
+    void twoLateAnswersOfAFewDoNotCloseTheConcurrencyLoop() {
+        Host host = new Host(Host.FREE, 14, 0).servers(60);
+        int ended = 0;
+        for (int second = 0; second < 6; second++) {
+            for (int i = 0; i < 10 && ended < host.sent.size(); i++, ended++) {
+                host.end(host.sent.get(ended).id(), second == 4 && i < 2 ? Outcome.TIMEOUT : Outcome.OK,
+                    second != 4 || i >= 2);
+            }
+            for (int i = 0; i < 40; i++) {
+                host.request(UNSAFE, 1);
+            }
+            host.pass(1000 * MS);
+        }
+        assertEquals(26, host.sent.size() - ended, "six for each of 60 servers, divided over 14");
+    }
 }
