Stop reading ahead also between an answer and the next request

Observed with a line at each refusal: 3.9 to 4.2 MB held undecoded by that one connection, nothing else in the budget. At fault: ClientServer.Session.arrived() stopped reading only while a request was in hand; answered and not yet gone on from, the decoder is paused but current is null, and what the kernel held was read in one go. Ruled out: a leak in the budget (used equals what that connection held). The assertion is unchanged; the refused requests would have been a client's.

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -350,7 +350,8 @@
                 begin();
             }
             account();
-            if (current != null && decoder.held() > 0
+            // Paused is also what is answered and not gone on from yet: one read could take in megabytes.
+            if (decoder.isPaused() && decoder.held() > 0
                 && (decoder.held() > MOST_AHEAD || !budget.allows(decoder.held()))) {
                 channel.config().setAutoRead(false);
             } else if (head != null && !closing && !budget.allows(held)) {
--- a/src/main/java/thistlefall/node/RequestDecoder.java
+++ b/src/main/java/thistlefall/node/RequestDecoder.java
@@ -48,6 +48,11 @@
         return actualReadableBytes();
     }
 
+    /** Whether what comes now waits undecoded. */
+    boolean isPaused() {
+        return paused;
+    }
+
     /** Goes on with what came meanwhile. */
     void resume() throws Exception {
         paused = false;
