--- a/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -3,12 +3,12 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -18,41 +18,70 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
+import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
-import java.io.ByteArrayOutputStream;
+import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.ListKind;
 
-/** Watches the list of app servers, from the last revision heard on, and again whenever a watch ends. */
+/**
+ * Watches the list of app servers, from the last revision heard on. What discovery's agent holds counts as told
+ * whether or not a watch is open, so one that ends, falls silent or stays mute is replaced well within the span
+ * that a drain allows.
+ */
 final class DiscoveryClient {
-    /** A line comes every 2 s at least: silence beyond a few of them is a dead connection. */
-    private static final int SILENCE_S = 7;
+    /** A line comes every 2 s at least, and what a silent watch misses counts as told 6 s after it fell silent. */
+    private static final int SILENCE_S = 3;
     private static final int CONNECT_MS = 1_000, MOST_LINE = 1 << 20;
-    private static final long FIRST_BACKOFF_MS = 100, MOST_BACKOFF_MS = 2_000, PATIENCE_MS = 1_000;
+    /** A list is written in one go: one begun and not whole after this was cut. Ours; half of a drain's second. */
+    private static final long UNFINISHED_MS = 500;
+    /**
+     * A watch that has not answered after this has another opened beside it: the agent answers at once, and one
+     * that was silent counts what it gets at its return as told. Ours; half of a drain's second. The earlier ones
+     * stay, so many at most, since one of them may be answered yet.
+     */
+    private static final long MUTE_MS = 500;
+    private static final int MOST_MUTE = 4;
+    /** Pushed lists come from an agent that answers free; a discovery that must be asked is spared. Ours. */
+    private static final long FIRST_BACKOFF_MS = 100, MOST_BACKOFF_MS = 250, MOST_ASKING_MS = 2_000;
+    private static final long PATIENCE_MS = 1_000;
 
     private final EdgeNode node;
     private final EventLoop loop;
     private final Config.Names names;
     private final Bootstrap bootstrap;
+    private final long mostBackoff, mutePatience;
+    /** Watches that have not been answered yet, the oldest first. */
+    private final ArrayDeque<Channel> mute = new ArrayDeque<>();
     private SocketAddress address;
-    private Channel watching;
+    /** The watch that is being listened to; null while none has answered. */
+    private Channel speaking;
+    private Future<?> next;
     private long revision, backoff = FIRST_BACKOFF_MS;
     private boolean heard;
+    private int opened;
 
     DiscoveryClient(EdgeNode node, EventLoop loop, Config config) {
         this.node = node;
         this.loop = loop;
         names = config.names();
         address = config.discovery();
+        boolean asked = config.settings().limits().askForList();
+        mostBackoff = asked ? MOST_ASKING_MS : MOST_BACKOFF_MS;
+        mutePatience = asked ? MOST_ASKING_MS : MUTE_MS;
         bootstrap = Transport.connecting(loop, config.discovery())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
+                    Lists lists = new Lists();
                     channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpClientCodec(),
-                        new Watch());
+                        new Watch(lists), lists, new Reader());
                 }
             });
     }
@@ -69,6 +98,15 @@
         return heard;
     }
 
+    /** How many watches were opened so far, and how many of these are out. */
+    int opened() {
+        return opened;
+    }
+
+    int out() {
+        return mute.size() + (speaking == null ? 0 : 1);
+    }
+
     /** From now on watches elsewhere. The list is kept: what changed since then is the new watch's to tell. */
     void move(SocketAddress to) {
         if (to.equals(address)) {
@@ -76,35 +114,67 @@
         }
         address = to;
         backoff = FIRST_BACKOFF_MS;
-        Channel old = watching;
+        Channel old = speaking;
+        speaking = null;
+        List<Channel> unanswered = List.copyOf(mute);
+        mute.clear();
         watch();
-        old.close();
+        unanswered.forEach(Channel::close);
+        if (old != null) {
+            old.close();
+        }
     }
 
     private void watch() {
-        ChannelFuture connecting = bootstrap.connect(address);
-        Channel channel = connecting.channel();
-        watching = channel;
-        channel.closeFuture().addListener(closed -> {
-            if (watching == channel) {
-                // Between two watches this stays the last one's channel, so that only a move replaces it.
-                loop.schedule(() -> again(channel), backoff, TimeUnit.MILLISECONDS);
-                backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
-            }
-        });
+        if (mute.size() >= MOST_MUTE) {
+            mute.poll().close();
+        }
+        Channel channel = bootstrap.connect(address).channel();
+        mute.add(channel);
+        opened++;
+        channel.closeFuture().addListener(closed -> ended(channel));
+        watchAfter(mutePatience);
+    }
+
+    private void watchAfter(long ms) {
+        if (next != null) {
+            next.cancel(false);
+        }
+        next = loop.schedule(this::watch, ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void ended(Channel channel) {
+        boolean last = channel == speaking;
+        if (last) {
+            speaking = null;
+        }
+        // Else it was given up, or others are out and the next one's time is set.
+        if (last || mute.remove(channel) && mute.isEmpty() && speaking == null) {
+            watchAfter(backoff);
+            backoff = Math.min(mostBackoff, 2 * backoff);
+        }
     }
 
-    private void again(Channel ended) {
-        if (watching == ended) {
-            watch();
+    private void answered(Channel channel) {
+        if (mute.remove(channel)) {
+            next.cancel(false);
+            speaking = channel;
+            List<Channel> others = List.copyOf(mute);
+            mute.clear();
+            others.forEach(Channel::close);
         }
     }
 
-    /** One watch: a chunked answer with a JSON object a line. */
+    /** The HTTP side of a watch: a chunked answer that stays open. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final Lists lists;
+        private Future<?> unfinished;
         private boolean ended;
 
+        Watch(Lists lists) {
+            this.lists = lists;
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
@@ -114,40 +184,84 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject part) throws Exception {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             // The rest of what was read goes on arriving after a close: the body of an error is no list.
-            ended |= context.channel() != watching || part.decoderResult().isFailure()
+            ended |= part.decoderResult().isFailure()
                 || part instanceof HttpResponse response && response.status().code() != 200;
-            if (ended) {
+            if (!ended) {
+                answered(context.channel());
+            }
+            if (ended || context.channel() != speaking) {
                 context.close();
                 return;
             }
             if (part instanceof HttpContent content) {
-                ByteBuf bytes = content.content();
-                while (bytes.isReadable()) {
-                    int length = bytes.bytesBefore((byte) '\n');
-                    bytes.readBytes(line, length < 0 ? bytes.readableBytes() : length);
-                    if (line.size() > MOST_LINE) {
-                        throw new Config.Invalid("discovery's line is too long");
-                    }
-                    if (length >= 0) {
-                        bytes.skipBytes(1);
-                        String text = line.toString(StandardCharsets.UTF_8);
-                        line.reset();
-                        read(text);
-                    }
-                }
+                context.fireChannelRead(content.content().retain());
+                await(context);
             }
             if (part instanceof LastHttpContent) {
                 context.close();
             }
         }
 
-        private void read(String text) throws Config.Invalid {
-            if (text.isBlank()) {
+        /** A list that was cut would have the next ones taken for its rest, and the watch for a live one. */
+        private void await(ChannelHandlerContext context) {
+            if (lists.isBetween() && unfinished != null) {
+                unfinished.cancel(false);
+                unfinished = null;
+            } else if (!lists.isBetween() && unfinished == null) {
+                unfinished = loop.schedule(() -> spoilt(context, new Config.Invalid("discovery's list was cut")),
+                    UNFINISHED_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (unfinished != null) {
+                unfinished.cancel(false);
+            }
+            ended = true;
+            context.fireChannelInactive();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!ended) {
+                spoilt(context, cause);
+            }
+            ended = true;
+        }
+    }
+
+    /** Silence is so usual while discovery is down that it is worth no line. */
+    private static void spoilt(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof ReadTimeoutException) && context.channel().isOpen()) {
+            // What could not be read may be a megabyte of noise.
+            boolean noise = cause instanceof DecoderException && !(cause.getCause() instanceof Config.Invalid);
+            EdgeNode.trouble("discovery", noise ? new Config.Invalid("what came is no list") : cause);
+        }
+        context.close();
+    }
+
+    /** Finds where each list ends: one may stand on a line or be indented over many. */
+    private static final class Lists extends JsonObjectDecoder {
+        Lists() {
+            super(MOST_LINE);
+        }
+
+        boolean isBetween() {
+            return actualReadableBytes() == 0;
+        }
+    }
+
+    /** Reads each list as it gets whole. */
+    private final class Reader extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf text) throws Config.Invalid {
+            if (context.channel() != speaking || !context.channel().isOpen()) {
                 return;
             }
-            Config.Roll roll = Config.roll(text, names);
+            Config.Roll roll = Config.roll(text.toString(StandardCharsets.UTF_8), names);
             node.list(roll, roll.complete() ? ListKind.FULL : ListKind.DELTA);
             revision = roll.revision();
             heard = true;
@@ -156,11 +270,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!ended) {
-                EdgeNode.trouble("discovery", cause);
-            }
-            ended = true;
-            context.close();
+            spoilt(context, cause);
         }
     }
 }
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -75,6 +75,14 @@
         return clients.connections();
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
+    DiscoveryClient discovery() {
+        return discovery;
+    }
+
     /**
      * Goes over to the addresses of a new configuration. Clients, attempts, the module and its list stay as they
      * are, and all else in the file is for the next start.
