--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -5,12 +5,15 @@
 # for talking to them are loaded all the same. Without an archive `run` still works, it only starts slower.
 set -u
 cd "$(dirname "$0")/.."
-GW_CONFIG=deploy/archive.json java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:C1MaxInlineSize=8 \
+# A port of its own for each build, below those that the system gives out: two may be built at once.
+port=$((20000 + $$ % 10000))
+sed "s/127\.0\.0\.1:18093/127.0.0.1:$port/" deploy/archive.json > target/archive.json
+GW_CONFIG=target/archive.json java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:C1MaxInlineSize=8 \
   -XX:C1MaxInlineLevel=2 -Dio.netty.jfr.enabled=false \
   -XX:ArchiveClassesAtExit=target/thistlefall.jsa -jar target/thistlefall.jar serve > target/archive.log 2>&1 &
 node=$!
 request() {
-  exec 3<> /dev/tcp/127.0.0.1/18093 || return 1
+  exec 3<> /dev/tcp/127.0.0.1/$port || return 1
   printf '%s /api HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Plan: only\r\n' "$@" >&3
   printf 'Cookie: customer=0000000000000001\r\nX-Expires-In-Ms: 500\r\nIdempotency-Key: k\r\n' >&3
   printf 'X-Quota: units=1,spread=2,first=0\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' >&3
