--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -978,8 +978,10 @@
     /** After an attempt that did not end the request: another one, or the final answer. */
     private void again(Job job, boolean neverRan) {
         RequestClass spec = job.lane.spec;
+        // A repeat reaches its server when the connection is up; that is no later than this.
+        long latest = cfg.limits().connectTimeout() + TICK;
         boolean mayRepeat = job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
-            || spec.repeat() == Repeat.KEYED && now - job.mayHaveRunSince + TICK < spec.keyWindow();
+            || spec.repeat() == Repeat.KEYED && now + latest - job.mayHaveRunSince < spec.keyWindow();
         boolean inTime = now + (long) (job.lane.service * SECOND / 2) < job.aimAt();
         double price = neverRan ? 0 : 1;
         boolean may = mayRepeat && inTime && retryTokens >= price;
--- a/src/main/java/thistlefall/Ports.java
+++ b/src/main/java/thistlefall/Ports.java
@@ -121,9 +121,10 @@
      * @param retryAfter whether clients are told how long to stay away
      * @param maxRetryAfter the longest that a client heeds
      * @param askForList whether changes of the list must be subscribed to
+     * @param connectTimeout how long an attempt may wait for its connection before it is sent
      */
     public record Limits(int maxAttempts, int maxOpen, boolean probes, boolean retryAfter, long maxRetryAfter,
-                         boolean askForList) {
+                         boolean askForList, long connectTimeout) {
     }
 
     /**
--- a/src/main/java/thistlefall/SettingsReader.java
+++ b/src/main/java/thistlefall/SettingsReader.java
@@ -74,7 +74,7 @@
             List.copyOf(classes), List.copyOf(plans),
             new Limits((int) whole("caps.max-attempts"), (int) whole("caps.max-open"), flag("caps.probes"),
                 flag("caps.retry-after"), whole("caps.max-retry-after-ns"),
-                text("discovery").equals("subscribe")),
+                text("discovery").equals("subscribe"), whole("caps.connect-timeout-ns")),
             new Counter(flag("domain.has-counter"), whole("domain.count-wait-ns"), flag("domain.trued-up"),
                 number("domain.units-top")),
             new Rules(whole("rules.answer-slack-ns"), number("rules.cold-from"), whole("rules.ramp-time-ns"),
--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -48,7 +48,12 @@
     private static final int CUSTOMER_DIGITS = 16, MOST_DIGITS = 15;
     private static final int BACKLOG = 512, MOST_NAME = 128;
     /** How much of one read, and how much that came ahead of its turn, a connection holds. */
-    private static final int READ = 8 * 1024, MOST_AHEAD = ServerPool.MOST_BODY;
+    private static final int READ = 8 * 1024, MOST_AHEAD = 4 * ServerPool.MOST_BODY;
+    /**
+     * For how long a client that has sent more than that ahead is taken to be still there: a request is not to be
+     * sent on 0.3 s after its client left, and behind so much its leaving can't be seen.
+     */
+    private static final long UNSEEN = 200_000_000L;
     /**
      * How long a whole request may take, from the connect or, on a connection that has asked before, from its
      * first byte; how long a connection may stand idle; and how often this is looked at.
@@ -77,8 +82,18 @@
             TimeUnit.NANOSECONDS);
     }
 
+    /** Completes when clients can connect; never where the node was told to end before that. */
     CompletableFuture<Void> bind() {
         CompletableFuture<Void> bound = new CompletableFuture<>();
+        loop.execute(() -> {
+            if (!draining) {
+                bind(bound);
+            }
+        });
+        return bound;
+    }
+
+    private void bind(CompletableFuture<Void> bound) {
         Transport.listening(loop, config.listen()).option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, READ))
             .childHandler(new ChannelInitializer<Channel>() {
@@ -89,29 +104,31 @@
                 }
             })
             .bind(config.listen()).addListener((ChannelFutureListener) done -> {
-                listening = done.channel();
                 if (done.isSuccess()) {
+                    listening = done.channel();
                     bound.complete(null);
                 } else {
                     bound.completeExceptionally(done.cause());
                 }
             });
-        return bound;
     }
 
     SocketAddress address() {
         return listening.localAddress();
     }
 
-    /** From now on each connection ends with its next answer. */
-    void closeAfterAnswers() {
+    /** From now on each connection ends with its next answer. Returns whether there may be any. */
+    boolean closeAfterAnswers() {
         draining = true;
+        return listening != null;
     }
 
     /** Nobody comes any more: the listening socket and the connections between requests go. */
     void stopAccepting(CompletableFuture<Void> done) {
         drained = done;
-        listening.close();
+        if (listening != null) {
+            listening.close();
+        }
         for (Session session : List.copyOf(sessions)) {
             if (session.isBetween()) {
                 session.channel.close();
@@ -166,6 +183,15 @@
         return loop.submit(sessions::size).get();
     }
 
+    /** How many of them are not read from, since too much was sent ahead on them. */
+    int unread() {
+        return (int) sessions.stream().filter(session -> !session.channel.config().isAutoRead()).count();
+    }
+
+    boolean listens() {
+        return listening != null;
+    }
+
     private void finishDrain() {
         if (drained != null && sessions.isEmpty()) {
             drained.complete(null);
@@ -325,6 +351,8 @@
         /** When the request that is coming, or else the silence, began. */
         private long since = System.nanoTime();
         private int held;
+        /** When it was last left unread, or the request that waits since then began. */
+        private long unseenSince;
 
         Session(Channel channel) {
             this.channel = channel;
@@ -353,6 +381,7 @@
             // Paused is also what is answered and not gone on from yet: one read could take in megabytes.
             if (decoder.isPaused() && decoder.held() > 0
                 && (decoder.held() > MOST_AHEAD || !budget.allows(decoder.held()))) {
+                unseenSince = channel.config().isAutoRead() ? System.nanoTime() : unseenSince;
                 channel.config().setAutoRead(false);
             } else if (head != null && !closing && !budget.allows(held)) {
                 refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for this body");
@@ -492,6 +521,7 @@
                 return;
             }
             channel.config().setAutoRead(true);
+            unseenSince = System.nanoTime();
             try {
                 decoder.resume();
             } catch (Exception e) {
@@ -542,6 +572,11 @@
                     : HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, retryAfter);
             }
 
+            @Override
+            public boolean mayHaveLeft() {
+                return !channel.config().isAutoRead() && System.nanoTime() - unseenSince > UNSEEN;
+            }
+
             @Override
             public void failed() {
                 write(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -44,6 +44,7 @@
     private final ClientServer clients;
     private final Config config;
     private Gateway gateway;
+    private Config early;
     private boolean inside;
 
     EdgeNode(Config config) {
@@ -61,6 +62,9 @@
             gateway = new Gateway(config.settings(), config.seed(), now(), this);
             list(config.known(), ListKind.CACHED);
             discovery.start(config.known().revision());
+            if (early != null) {
+                move(early);
+            }
         }).get();
         clients.bind().get();
     }
@@ -79,6 +83,24 @@
         return loop;
     }
 
+    /** How many bytes clients' requests hold. */
+    long held() {
+        return budget.used();
+    }
+
+    /** How many of these wait unread behind a request; asked on the loop, as is whether the node listens. */
+    int unread() {
+        return clients.unread();
+    }
+
+    boolean listens() {
+        return clients.listens();
+    }
+
+    ServerPool pool() {
+        return pool;
+    }
+
     DiscoveryClient discovery() {
         return discovery;
     }
@@ -89,19 +111,30 @@
      */
     void reload(Config changed) {
         loop.execute(() -> {
-            discovery.move(changed.discovery());
-            if (changed.counter() != null) {
-                counter.move(changed.counter());
+            if (gateway == null) {
+                // A hang-up between the file's reading and the start: its turn is right behind that.
+                early = changed;
+            } else {
+                move(changed);
             }
         });
     }
 
+    private void move(Config changed) {
+        discovery.move(changed.discovery());
+        if (changed.counter() != null) {
+            counter.move(changed.counter());
+        }
+    }
+
     /** Answers all that was taken and completes when no client's connection is open any more. */
     CompletableFuture<Void> drain() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         loop.execute(() -> {
-            clients.closeAfterAnswers();
-            loop.schedule(() -> clients.stopAccepting(done), DRAIN_GRACE, TimeUnit.NANOSECONDS);
+            long grace = clients.closeAfterAnswers() ? DRAIN_GRACE : 0;
+            // The second task comes after one more look at the sockets: who came before the first is let in.
+            loop.schedule(() -> loop.schedule(() -> clients.stopAccepting(done), 0, TimeUnit.NANOSECONDS), grace,
+                TimeUnit.NANOSECONDS);
         });
         return done;
     }
@@ -221,6 +254,9 @@
     @Override
     public void send(String id, String server, long patience) {
         OpenRequest of = open.get(id);
+        if (of != null && !of.attemptOut && !of.awaited()) {
+            fail(of);
+        }
         if (of == null || of.answered || of.attemptOut) {
             // It may not go out, but the module counts it as out until it hears how it ended.
             Result moot = new Result(id, Outcome.NOT_SENT, 0, server, of == null || of.answered, 0, 0, List.of());
--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -4,6 +4,7 @@
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import thistlefall.drill.Drill;
 
@@ -35,16 +36,24 @@
         try {
             Path path = Path.of(file);
             AtomicReference<EdgeNode> serving = new AtomicReference<>();
-            onHangup(() -> reload(serving.get(), path));
+            AtomicInteger hangups = new AtomicInteger();
+            onHangup(() -> {
+                hangups.incrementAndGet();
+                reload(serving.get(), path);
+            });
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serving.get()), "stop"));
             String folder = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
             long begun = System.nanoTime();
             int rehearsed = Rehearsal.hold(Config.read(path), REHEARSED, REHEARSAL_MS, Path.of(folder));
             System.out.println("rehearsed with " + rehearsed + " requests in "
                 + (System.nanoTime() - begun) / 1_000_000 + " ms");
-            // The file is read again: a signal may have come meanwhile.
+            // The file is read again: a signal may have come meanwhile, or come while it is read.
+            int before = hangups.get();
             EdgeNode node = new EdgeNode(Config.read(path));
             serving.set(node);
+            if (hangups.get() != before) {
+                reload(node, path);
+            }
             node.start();
             System.out.println("serving on " + node.address());
         } catch (Config.Invalid e) {
@@ -65,7 +74,7 @@
     /** A file that cannot be used costs one line; the settings that the node has stay as they are. */
     private static void reload(EdgeNode node, Path file) {
         if (node == null) {
-            // The file will be read when the node is made.
+            System.out.println("the configuration will be read again for the start");
             return;
         }
         try {
--- a/src/main/java/thistlefall/node/OpenRequest.java
+++ b/src/main/java/thistlefall/node/OpenRequest.java
@@ -17,6 +17,9 @@
 
         /** Says that it failed, with no promise about the effect. */
         void failed();
+
+        /** Whether so much that the client sent ahead waits unread that its leaving may have gone unseen. */
+        boolean mayHaveLeft();
     }
 
     final Request request;
@@ -40,6 +43,11 @@
         this.answers = answers;
     }
 
+    /** Whether an attempt may still begin: nobody waits for one whose client has left, seen or unseen. */
+    boolean awaited() {
+        return !answered && !answers.mayHaveLeft();
+    }
+
     /** The answers' side if nothing was answered yet, else null: a request has one final answer. */
     Answers answerOnce() {
         if (answered) {
--- a/src/main/java/thistlefall/node/RequestDecoder.java
+++ b/src/main/java/thistlefall/node/RequestDecoder.java
@@ -33,6 +33,13 @@
         arrived.run();
     }
 
+    /** The codec's own would read on, unasked, wherever reading has been turned off and nothing was decoded. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext at) {
+        discardSomeReadBytes();
+        at.fireChannelReadComplete();
+    }
+
     @Override
     protected void decode(ChannelHandlerContext at, ByteBuf in, List<Object> out) throws Exception {
         if (stopped) {
--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -82,13 +82,18 @@
 
         /** The connection used last, so that the others may close; if it is too fresh, the one that is least so. */
         Connection rested() {
-            long due = System.nanoTime() - REST;
             Connection last = idle.peekFirst();
-            if (last != null && last.idleSince - due <= 0) {
+            if (last != null && last.rested) {
                 return idle.pollFirst();
             }
             Connection first = idle.peekLast();
-            return first != null && first.idleSince - due <= 0 ? idle.pollLast() : null;
+            return first != null && first.rested ? idle.pollLast() : null;
+        }
+
+        void closeIdleSince(long due) {
+            while (!idle.isEmpty() && idle.peekLast().idleSince - due < 0) {
+                idle.pollLast().channel.close();
+            }
         }
 
         void retire() {
@@ -165,6 +170,8 @@
             return;
         }
         attempt.expiry = loop.schedule(attempt::expire, patience, TimeUnit.NANOSECONDS);
+        // Looked at here too: the sweep is too coarse where connections may stand idle for a short span only.
+        endpoint.closeIdleSince(System.nanoTime() - idleLimit);
         Connection ready = endpoint.rested();
         if (ready != null) {
             ready.write(attempt);
@@ -204,12 +211,20 @@
         return false;
     }
 
+    /** How many connections to app servers are open or being opened. */
+    int connections() {
+        return connections;
+    }
+
+    /** How many of them are idle. */
+    int idle() {
+        return endpoints.values().stream().mapToInt(endpoint -> endpoint.idle.size()).sum();
+    }
+
     private void closeIdle() {
         long due = System.nanoTime() - idleLimit;
         for (Endpoint endpoint : endpoints.values()) {
-            while (!endpoint.idle.isEmpty() && endpoint.idle.peekLast().idleSince - due < 0) {
-                endpoint.idle.pollLast().channel.close();
-            }
+            endpoint.closeIdleSince(due);
         }
     }
 
@@ -275,7 +290,7 @@
         private Channel channel;
         private Endpoint endpoint;
         private Attempt attempt;
-        private boolean reusable;
+        private boolean reusable, rested = true;
         private long idleSince;
         private Future<?> unfinished;
 
@@ -291,6 +306,10 @@
         }
 
         void write(Attempt next) {
+            if (!next.over && !next.of.awaited()) {
+                // The client left while the connect was out: what nobody waits for is not begun.
+                next.end(Outcome.NOT_SENT, 0, null);
+            }
             if (next.over) {
                 release();
                 return;
@@ -347,10 +366,21 @@
             } else if (reusable) {
                 reusable = false;
                 awaitRest(false);
+                rest();
                 release();
             }
         }
 
+        /**
+         * The span alone is not enough: a loop that was held up for so long has not looked at what came meanwhile.
+         * A task set for at once from within a task comes after the loop's next look at the sockets.
+         */
+        private void rest() {
+            rested = false;
+            loop.schedule(() -> loop.schedule(() -> rested = true, 0, TimeUnit.NANOSECONDS), REST,
+                TimeUnit.NANOSECONDS);
+        }
+
         private void awaitRest(boolean begun) {
             if (begun && unfinished == null) {
                 unfinished = loop.schedule(() -> spoilt(), ANSWER_SPAN, TimeUnit.NANOSECONDS);
--- a/src/test/java/thistlefall/Host.java
+++ b/src/test/java/thistlefall/Host.java
@@ -67,7 +67,7 @@
             new RequestClass(1000 * MS, 2000 * MS, Repeat.KEYED, Group.CELL, 700 * MS, 0.2, 4),
             new RequestClass(1000 * MS, 3000 * MS, Repeat.UNSAFE, Group.ALL, 0, 0.2, 3),
             new RequestClass(1000 * MS, 3000 * MS, Repeat.KEYED, Group.ALL, 700 * MS, 0, 4)),
-            List.of(plan), new Limits(4, 1000, probes, false, 0, false),
+            List.of(plan), new Limits(4, 1000, probes, false, 0, false, 0),
             new Counter(counter, 50 * MS, true, 4), new Rules(10 * MS, 0.25, 10_000 * MS, 3, 2_000 * MS));
     }
 
