--- a/src/test/java/thistlefall/node/ReloadTest.java
+++ b/src/test/java/thistlefall/node/ReloadTest.java
@@ -80,7 +80,7 @@
         assertEquals(0, process.exitValue());
     }
 
-    private static void await(BufferedReader said, String start) throws IOException {
+    static void await(BufferedReader said, String start) throws IOException {
         String line = said.readLine();
         while (line != null && !line.startsWith(start)) {
             line = said.readLine();
@@ -88,7 +88,7 @@
         assertNotNull(line, "the process ended before it said: " + start);
     }
 
-    private static void hangUp(Process process) throws Exception {
+    static void hangUp(Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
 }
