Count a request's time from when it may have come, not from its turn

Node n3's log: "take-left361 ... end-OK@957.1 serve", "take-left361 ... end-OK@904.2 serve", both 0.54 s and more behind their clients' time, and "HELD 817": the node's loop came 817 ms late to a timer of 10 ms. Requests that were sent meanwhile were read up to that much later, and their time began only then; so did that of requests that had waited behind another.

Lines at fault: ClientServer.read took the deadline from node.now(), that is from the request's turn.

Now each read notes the loop's look before the present one, before which its bytes can't have been there; for a connection's first read, its connect; where reading was ever turned off, its connect as well.

Both tests fail on the text before: "it was served behind its time".

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -214,7 +214,8 @@
     }
 
     /** Reads a request; what it cannot read it names. Nothing is taken that means different things to readers. */
-    private OpenRequest read(HttpRequest head, ByteBuf body, OpenRequest.Answers answers) throws Refusal {
+    private OpenRequest read(HttpRequest head, long came, ByteBuf body, OpenRequest.Answers answers)
+        throws Refusal {
         String uri = head.uri();
         if (!uri.equals("/api") && !uri.startsWith("/api?")) {
             throw new Refusal(HttpResponseStatus.NOT_FOUND, "no such path");
@@ -237,7 +238,7 @@
         Map<String, String> quota = quota(need(headers, "X-Quota"));
         int siblings = config.settings().siblings();
         Request request = new Request(id, requestClass, plan, customer(headers),
-            node.deadline(node.now(), span * MS), units(quota.get("units")),
+            node.deadline(node.at(came), span * MS), units(quota.get("units")),
             (int) whole(quota.get("spread"), "X-Quota spread", 1, siblings),
             (int) whole(quota.get("first"), "X-Quota first", 0, siblings - 1L),
             "1".equals(headers.get("X-Second-Try")));
@@ -341,7 +342,7 @@
 
     /** A client's connection: one request at a time; what comes behind it waits undecoded. */
     private final class Session extends SimpleChannelInboundHandler<HttpObject> {
-        private final RequestDecoder decoder = new RequestDecoder(this::arrived);
+        private final RequestDecoder decoder = new RequestDecoder(this::arrived, this::earliest);
         private final Body body = new Body(ServerPool.MOST_BODY);
         private final Channel channel;
         private HttpRequest head;
@@ -353,6 +354,9 @@
         private int held;
         /** When it was last left unread, or the request that waits since then began. */
         private long unseenSince;
+        /** Whether it has ever been left unread: what comes then may have waited since its connect. */
+        private boolean unread;
+        private final long connected = node.lookedBefore();
 
         Session(Channel channel) {
             this.channel = channel;
@@ -381,6 +385,7 @@
             // Paused is also what is answered and not gone on from yet: one read could take in megabytes.
             if (decoder.isPaused() && decoder.held() > 0
                 && (decoder.held() > MOST_AHEAD || !budget.allows(decoder.held()))) {
+                unread = true;
                 unseenSince = channel.config().isAutoRead() ? System.nanoTime() : unseenSince;
                 channel.config().setAutoRead(false);
             } else if (head != null && !closing && !budget.allows(held)) {
@@ -450,6 +455,12 @@
             }
         }
 
+        /** The earliest moment at which what is read now may have come. */
+        private long earliest() {
+            // What a client sends right behind its connect may have waited as long as that.
+            return unread || !asked && !begun ? connected : node.lookedBefore();
+        }
+
         private void handle() {
             HttpRequest whole = head;
             ByteBuf content = body.take();
@@ -463,7 +474,7 @@
                 return;
             }
             try {
-                OpenRequest taken = read(whole, content, new Reply());
+                OpenRequest taken = read(whole, decoder.wholeAt(), content, new Reply());
                 current = taken;
                 if (!node.take(taken)) {
                     current = null;
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.SocketAddress;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,7 +33,9 @@
     /** How long connections go on coming after SIGTERM (0.4 s at most), and some more. */
     private static final long DRAIN_GRACE = 600 * MS;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Looks looks = new Looks();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+        NioIoHandler.newFactory(SelectorProvider.provider(), () -> looks));
     private final EventLoop loop = group.next();
     /** The module's clock: the wall's time at the start, going on by the clock that never jumps. */
     private final long clockOffset = System.currentTimeMillis() * MS - System.nanoTime();
@@ -145,7 +148,17 @@
     }
 
     long now() {
-        return System.nanoTime() + clockOffset;
+        return at(System.nanoTime());
+    }
+
+    /** A moment of the system's clock that never jumps, by the module's. */
+    long at(long nanoTime) {
+        return nanoTime + clockOffset;
+    }
+
+    /** Whatever a socket brings now came after this moment, however long the loop was held since. */
+    long lookedBefore() {
+        return looks.before();
     }
 
     /**
--- a/src/test/java/thistlefall/node/CrossingTest.java
+++ b/src/test/java/thistlefall/node/CrossingTest.java
@@ -244,6 +244,58 @@
         }
     }
 
+    /** So short an aim that a request with little time left is still tried. */
+    private String hasty(Peer server) throws IOException {
+        return config(member("s-0", server.address(), "Ready", 0)).replace("\"aim-ns\": 10000000000",
+            "\"aim-ns\": 400000000");
+    }
+
+    /** Its time once began with its turn, so that its answer came when nobody waited for it any more. */
+    @Test
+    void theTimeOfARequestThatWaitsBehindAnotherGoesByMeanwhile() throws Exception {
+        CompletableFuture<Peer.Message> sent = new CompletableFuture<>();
+        Peer server = peer(m -> {
+            if (m.headers().get("x-trace-id").equals("t-1")) {
+                sent.complete(m);
+            } else {
+                m.answer(Peer.ok("", "x"));
+            }
+        });
+        EdgeNode node = start(hasty(server));
+        Socket client = client(node);
+        order(client, "t-1");
+        server.next();
+        write(client, "POST /api", headers("t-2", "order", "400"), "book");
+        until(node, () -> node.held() > 100);
+        node.loop().submit(() -> {
+            Thread.sleep(450);
+            sent.join().answer(Peer.ok("", "x"));
+            return null;
+        }).get();
+        assertEquals("200", status(Peer.read(client)));
+        assertFalse(status(Peer.read(client)).equals("200"), "it was served behind its time");
+        order(client, "t-3");
+        assertEquals("t-3", server.next().headers().get("x-trace-id"));
+    }
+
+    /** The same for what a loop that was held has not read yet. */
+    @Test
+    void theTimeOfARequestThatIsNotReadYetGoesByMeanwhile() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        EdgeNode node = start(hasty(server));
+        Socket client = client(node);
+        assertEquals("200", ask(client, "t-1"));
+        server.next();
+        node.loop().submit(() -> {
+            write(client, "POST /api", headers("t-2", "order", "400"), "book");
+            Thread.sleep(450);
+            return null;
+        }).get();
+        assertFalse(status(Peer.read(client)).equals("200"), "it was served behind its time");
+        order(client, "t-3");
+        assertEquals("t-3", server.next().headers().get("x-trace-id"));
+    }
+
     /** Behind still more nothing can be seen: such a request is given up when it has waited. */
     @Test
     void aRequestThatWaitsBeforeMoreThanIsReadAheadIsGivenUp() throws Exception {
