Look whether the client has left at its socket before each attempt begins

Seen on the text before, each by a loopback test that forces the order: a loop that was held finds a request and its client's close side by side and sends the request on; it finds an attempt's end and the close, the end first, and tries again; behind more than is read ahead, each request that waits had 0.2 s again from its own turn.

Lines at fault: ClientServer.handle ran within the read, before the close behind it was read; EdgeNode.send and ServerPool.Connection.write asked only what had been noticed; Session.next set unseenSince anew for each turn.

Now the socket is read at the moment of sending, a request is handled when all that came is read, and a client is seen only where nothing waits unread.

Cost: one read of the client's socket for each attempt, and a task for each request.

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -9,7 +9,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -50,10 +52,10 @@
     /** How much of one read, and how much that came ahead of its turn, a connection holds. */
     private static final int READ = 8 * 1024, MOST_AHEAD = 4 * ServerPool.MOST_BODY;
     /**
-     * For how long a client that has sent more than that ahead is taken to be still there: a request is not to be
-     * sent on 0.3 s after its client left, and behind so much its leaving can't be seen.
+     * For how long a client that has sent more than that ahead is taken to be still there: no attempt is to begin
+     * 0.1 s after its client left, and behind so much its leaving can't be seen. A fifth is for the way out.
      */
-    private static final long UNSEEN = 200_000_000L;
+    private static final long UNSEEN = 80_000_000L;
     /**
      * How long a whole request may take, from the connect or, on a connection that has asked before, from its
      * first byte; how long a connection may stand idle; and how often this is looked at.
@@ -349,14 +351,13 @@
         private OpenRequest current;
         /** {@code begun}: a part of a request has come; {@code asked}: a whole one has, ever. */
         private boolean begun, asked, keepAlive, closing;
+        /** Whether it has been left unread, and what comes now may have waited since it was last seen empty. */
+        private boolean unread;
         /** When the request that is coming, or else the silence, began. */
         private long since = System.nanoTime();
         private int held;
-        /** When it was last left unread, or the request that waits since then began. */
-        private long unseenSince;
-        /** Whether it has ever been left unread: what comes then may have waited since its connect. */
-        private boolean unread;
-        private final long connected = node.lookedBefore();
+        /** When its client was last seen to be there: all that it had sent was read, and no close came behind. */
+        private long seenAt = node.lookedBefore();
 
         Session(Channel channel) {
             this.channel = channel;
@@ -386,7 +387,6 @@
             if (decoder.isPaused() && decoder.held() > 0
                 && (decoder.held() > MOST_AHEAD || !budget.allows(decoder.held()))) {
                 unread = true;
-                unseenSince = channel.config().isAutoRead() ? System.nanoTime() : unseenSince;
                 channel.config().setAutoRead(false);
             } else if (head != null && !closing && !budget.allows(held)) {
                 refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for this body");
@@ -438,8 +438,34 @@
                 refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
             }
             if (part instanceof LastHttpContent && !closing) {
-                handle();
+                // Once all that came is read: what stands behind it may be the client's leaving.
+                asked = true;
+                loop.execute(this::handle);
+            }
+        }
+
+        /** The earliest moment at which what is read now may have come. */
+        private long earliest() {
+            // What a client sends right behind its connect may have waited as long as that.
+            return unread || !asked && !begun ? seenAt : node.lookedBefore();
+        }
+
+        /**
+         * Whether the client has left, as the socket tells now: a loop that was held for long has its close still
+         * before it, and so has one that reads what other sockets brought first.
+         */
+        private boolean hasLeft() {
+            RecvByteBufAllocator.Handle last = channel.unsafe().recvBufAllocHandle();
+            boolean reads = channel.isActive() && channel.config().isAutoRead();
+            while (reads) {
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+                reads = channel.isActive() && channel.config().isAutoRead() && last.lastBytesRead() > 0;
+            }
+            if (channel.isActive() && channel.config().isAutoRead()) {
+                seenAt = System.nanoTime();
+                unread = false;
             }
+            return !channel.isActive() || System.nanoTime() - seenAt > UNSEEN;
         }
 
         /** Turns a body away that is too large by what the head says, before any of it is read. */
@@ -455,18 +481,14 @@
             }
         }
 
-        /** The earliest moment at which what is read now may have come. */
-        private long earliest() {
-            // What a client sends right behind its connect may have waited as long as that.
-            return unread || !asked && !begun ? connected : node.lookedBefore();
-        }
-
         private void handle() {
+            if (closing || !channel.isActive()) {
+                return;
+            }
             HttpRequest whole = head;
             ByteBuf content = body.take();
             head = null;
             begun = false;
-            asked = true;
             keepAlive = HttpUtil.isKeepAlive(whole);
             if (whole.uri().equals("/_health")) {
                 content.release();
@@ -532,7 +554,6 @@
                 return;
             }
             channel.config().setAutoRead(true);
-            unseenSince = System.nanoTime();
             try {
                 decoder.resume();
             } catch (Exception e) {
@@ -584,8 +605,8 @@
             }
 
             @Override
-            public boolean mayHaveLeft() {
-                return !channel.config().isAutoRead() && System.nanoTime() - unseenSince > UNSEEN;
+            public boolean hasLeft() {
+                return Session.this.hasLeft();
             }
 
             @Override
--- a/src/main/java/thistlefall/node/OpenRequest.java
+++ b/src/main/java/thistlefall/node/OpenRequest.java
@@ -18,8 +18,8 @@
         /** Says that it failed, with no promise about the effect. */
         void failed();
 
-        /** Whether so much that the client sent ahead waits unread that its leaving may have gone unseen. */
-        boolean mayHaveLeft();
+        /** Looks whether the client has left, or has sent so much ahead that its leaving may have gone unseen. */
+        boolean hasLeft();
     }
 
     final Request request;
@@ -43,9 +43,9 @@
         this.answers = answers;
     }
 
-    /** Whether an attempt may still begin: nobody waits for one whose client has left, seen or unseen. */
+    /** Whether an attempt may begin now: nobody waits for one whose client has left, seen or unseen. */
     boolean awaited() {
-        return !answered && !answers.mayHaveLeft();
+        return !answered && !answers.hasLeft();
     }
 
     /** The answers' side if nothing was answered yet, else null: a request has one final answer. */
