Find an address's holder at once, so that a list of 1,024 servers does not hold the loop

Seen: ServerPool.update looked through all endpoints for each entry.

Lines at fault: ServerPool.holder.

The new test starts `run` with its own flags, 120 nodes in the settings, 1,024 servers known, told again indented in pieces of 4 KiB and all but one taken away; it passed before too and keeps heap and bounds as they are.

--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -42,6 +42,8 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
+    /** Who has an address: looked for among all of a thousand, each list would cost a million comparisons. */
+    private final Map<SocketAddress, Endpoint> holders = new HashMap<>();
     private final long idleLimit;
     private final int most;
     private final double mostUnits;
@@ -133,7 +135,9 @@
                 drop(known);
             }
             if (ready && !same) {
-                endpoints.put(server.id(), new Endpoint(member));
+                Endpoint made = new Endpoint(member);
+                endpoints.put(server.id(), made);
+                holders.put(made.address, made);
             }
         }
         if (whole) {
@@ -143,12 +147,8 @@
     }
 
     private Endpoint holder(Config.Member of) {
-        for (Endpoint endpoint : endpoints.values()) {
-            if (endpoint.address.equals(of.address()) && !endpoint.server.id().equals(of.server().id())) {
-                return endpoint;
-            }
-        }
-        return null;
+        Endpoint holder = holders.get(of.address());
+        return holder == null || holder.server.id().equals(of.server().id()) ? null : holder;
     }
 
     private static Server gone(Server server) {
@@ -159,6 +159,7 @@
     private void drop(Endpoint endpoint) {
         endpoint.retire();
         endpoints.remove(endpoint.server.id());
+        holders.remove(endpoint.address, endpoint);
     }
 
     /** Begins an attempt; its outcome is told later, never from within this call. */
--- a/src/test/java/thistlefall/node/DeployTest.java
+++ b/src/test/java/thistlefall/node/DeployTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,6 +19,8 @@
 /** The command that the deploy file starts a node with, on the classes at hand instead of the jar. */
 @Timeout(120)
 class DeployTest extends Stage {
+    private static final int FLEET = 1_024;
+
     @TempDir
     Path folder;
 
@@ -86,4 +90,53 @@
         process.destroy();
         assertTrue(process.waitFor(60, TimeUnit.SECONDS));
     }
+
+    private static String each(int from, int to, String phase, Peer last) {
+        StringBuilder members = new StringBuilder();
+        for (int i = from; i < to; i++) {
+            String address = i == FLEET - 1 ? last.address() : "127.1." + i / 250 + "." + (1 + i % 250) + ":8081";
+            members.append(i > from ? "," : "").append(member("a-server-of-a-large-fleet-" + i, address, phase, 0));
+        }
+        return members.toString();
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** As many as no cap may fall under, beside 119 other nodes: known, told at full length and taken away again. */
+    @Test
+    void aFleetOf1024ServersAnd120NodesFitsWhatRunGivesIt() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        Path file = folder.resolve("config.json");
+        discovery = peer(m -> {
+            m.answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            String whole = new ObjectMapper().readTree("{\"revision\":6,\"complete\":true,\"members\":["
+                + each(0, FLEET, "Ready", server) + "]}").toPrettyString().replace("\n", "\n        ");
+            for (int at = 0; at < whole.length(); at += 4_096) {
+                m.answer(chunk(whole.substring(at, Math.min(whole.length(), at + 4_096))));
+            }
+            m.answer(chunk("\n{\"revision\":7,\"complete\":false,\"members\":["
+                + each(0, FLEET - 1, "Gone", server) + "]}\n"));
+        });
+        Files.writeString(file, config(each(0, FLEET, "Ready", server)).replace("\"siblings\": 2", "\"siblings\": 120"));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run()).redirectErrorStream(true);
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("CLASSES", System.getProperty("java.class.path"));
+        Process process = builder.start();
+        toClose.add(process::destroyForcibly);
+        BufferedReader said = new BufferedReader(
+            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        String[] at = ReloadTest.await(said, "serving on").replaceAll(".*/", "").split(":");
+        Socket client = new Socket(at[0], Integer.parseInt(at[1]));
+        toClose.add(client);
+        // Only who has read both lists to their ends knows that none but the last server is left.
+        String status = "";
+        for (int i = 0; i < 1_000 && !status.equals("200"); i++) {
+            status = ask(client, "f-" + i);
+        }
+        for (int i = 0; i < 20; i++) {
+            assertEquals("200", ask(client, "g-" + i));
+        }
+    }
 }
--- a/src/test/java/thistlefall/node/ReloadTest.java
+++ b/src/test/java/thistlefall/node/ReloadTest.java
@@ -80,12 +80,13 @@
         assertEquals(0, process.exitValue());
     }
 
-    static void await(BufferedReader said, String start) throws IOException {
+    static String await(BufferedReader said, String start) throws IOException {
         String line = said.readLine();
         while (line != null && !line.startsWith(start)) {
             line = said.readLine();
         }
         assertNotNull(line, "the process ended before it said: " + start);
+        return line;
     }
 
     static void hangUp(Process process) throws Exception {
