Let a gateway that has sent nothing yet begin with cold servers

Term: cold servers hold under the sum of all processes; beyond N only 2 x root of N + 2 are chance.

But gateways that start beside cold servers only sent nothing at all: 0 of 152 requests.

Line at fault: Gateway.coldRoom gave a cold server its part of what the gateway had sent, and that was nothing.

Now its part is that of one request at a time over all gateways at least, which any server bears, times how warm it is.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -949,7 +949,9 @@
     private boolean coldRoom(Backend b, Job job) {
         int warm = 0;
         for (Backend other : listed) { warm += other.cold() ? 0 : 1; }
-        double work = sentWork / Math.max(1, warm) * b.warmth() * (now - b.coldAt) * NANO;
+        // Any server bears one at a time: who has sent nothing yet, with none warm, would else never begin.
+        double share = Math.max(sentWork / Math.max(1, warm), 1.0 / cfg.siblings());
+        double work = share * b.warmth() * (now - b.coldAt) * NANO;
         b.coldAt = now;
         return random.nextDouble() * job.cost() < work;
     }
