Ask discovery again in time where lists must be asked for

Term: whatever calls to discovery fail, a change counts as told 6 s after discovery had it and could be reached.

Seen, by a test: after some watches that ended, one falls silent (given up after 3 s), the pause is 2 s, and the next call stays mute for 2 s before another is opened beside it: 7 s. Pushed lists were within it (250 and 500 ms).

Lines at fault: DiscoveryClient.MOST_ASKING_MS, 2 s for both the pause and the mute call; now 500 ms and 1 s, so that a silence, a pause and a mute call take 4.5 s together.

Cost: up to two calls a second of a node while such a discovery refuses them, where it was one in two seconds.

--- a/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -47,8 +47,13 @@
      */
     private static final long MUTE_MS = 500;
     private static final int MOST_MUTE = 4;
-    /** Pushed lists come from an agent that answers free; a discovery that must be asked is spared. Ours. */
-    private static final long FIRST_BACKOFF_MS = 100, MOST_BACKOFF_MS = 250, MOST_ASKING_MS = 2_000;
+    /** Pushed lists come from an agent that answers free. Ours. */
+    private static final long FIRST_BACKOFF_MS = 100, MOST_BACKOFF_MS = 250;
+    /**
+     * A discovery that must be asked is spared, but whatever calls fail, a change counts as told 6 s after it had it
+     * and could be reached: behind a silence of 3 s, a pause and a call that stays mute there is time for another.
+     */
+    private static final long MOST_ASKING_MS = 500, MUTE_ASKING_MS = 1_000;
     private static final long PATIENCE_MS = 1_000;
 
     private final EdgeNode node;
@@ -73,7 +78,7 @@
         address = config.discovery();
         boolean asked = config.settings().limits().askForList();
         mostBackoff = asked ? MOST_ASKING_MS : MOST_BACKOFF_MS;
-        mutePatience = asked ? MOST_ASKING_MS : MUTE_MS;
+        mutePatience = asked ? MUTE_ASKING_MS : MUTE_MS;
         bootstrap = Transport.connecting(loop, config.discovery())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
             .handler(new ChannelInitializer<Channel>() {
--- a/src/test/java/thistlefall/node/WatchTest.java
+++ b/src/test/java/thistlefall/node/WatchTest.java
@@ -100,6 +100,33 @@
             "no watch was opened for a second");
     }
 
+    /**
+     * Where lists must be asked for too, a change is told 6 s after discovery had it: here a watch falls silent after
+     * some that ended, and the next one is never answered. Pauses of 2 s each once made it 7 s.
+     */
+    @Test
+    void aListThatMustBeAskedForIsToldWithin6SecondsThoughCallsFailAndFallSilent() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        AtomicInteger watches = new AtomicInteger();
+        CompletableFuture<Void> silent = new CompletableFuture<>();
+        discovery = peer(m -> {
+            int n = watches.getAndIncrement();
+            if (n < 6) {
+                m.socket().close();
+            } else if (n == 6) {
+                m.answer(HEAD + chunk("\n"));
+                silent.complete(null);
+            } else if (n > 7) {
+                m.answer(HEAD + chunk(change(6, member("s-1", server.address(), "Ready", 0)) + "\n"));
+            }
+        });
+        EdgeNode node = start(config().replace("\"discovery\": \"automatic\"", "\"discovery\": \"subscribe\""));
+        silent.get();
+        assertTrue(node.loop().schedule(() -> node.discovery().opened() > 8, 6, TimeUnit.SECONDS).get(),
+            "6 s after it fell silent it had not been asked for anew twice");
+        awaitServed(node);
+    }
+
     @Test
     void aListMayBeIndented() throws Exception {
         Peer server = peer(m -> m.answer(Peer.ok("", "x")));
