Let all who connected in before a drain's grace ends, however many they are

Seen, by a loopback test that holds the loop over the grace's end while 60 clients connect and write: some of them were closed with no answer ("the connection ended without an answer"). A look at the listening socket takes in 16 connections, and two looks come before it is closed.

Line at fault: ClientServer.stopAccepting closed the socket over those that still waited there; the connects were the kernel's to take, so that their requests count as taken.

From SIGTERM on a look takes in as many as the backlog holds. Before that it stays at 16, so that a crowd of newcomers does not hold up those who are served, nor goes far over the bound on descriptors.

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.MaxMessagesRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
@@ -122,6 +123,11 @@
     /** From now on each connection ends with its next answer. Returns whether there may be any. */
     boolean closeAfterAnswers() {
         draining = true;
+        if (listening != null) {
+            // All who wait are let in at the last look: it takes a part of them only, for the sake of the others.
+            MaxMessagesRecvByteBufAllocator look = listening.config().getRecvByteBufAllocator();
+            look.maxMessagesPerRead(BACKLOG);
+        }
         return listening != null;
     }
 
--- a/src/test/java/thistlefall/node/CrossingTest.java
+++ b/src/test/java/thistlefall/node/CrossingTest.java
@@ -517,4 +517,29 @@
         assertEquals("200", status(Peer.read(known)));
         drained.get(60, TimeUnit.SECONDS);
     }
+
+    /** The loop takes in 16 connections at a look; those behind them were once closed unread when the grace ended. */
+    @Test
+    void allWhoConnectedBeforeTheGraceEndsAreAnsweredHoweverManyThereAre() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        EdgeNode node = node(server);
+        CompletableFuture<Void> drained = node.loop().submit(() -> node.drain()).get();
+        InetSocketAddress at = (InetSocketAddress) node.address();
+        List<Socket> crowd = node.loop().submit(() -> {
+            List<Socket> made = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                Socket socket = new Socket(at.getAddress(), at.getPort());
+                socket.setSoTimeout(60_000);
+                order(socket, "c-" + i);
+                made.add(socket);
+            }
+            Thread.sleep(700);
+            return made;
+        }).get();
+        toClose.addAll(crowd);
+        for (Socket socket : crowd) {
+            status(Peer.read(socket));
+        }
+        drained.get(60, TimeUnit.SECONDS);
+    }
 }
