Start within few descriptors, and let no library's warning end the event loop

Term: idle clients may fill the descriptors while discovery is down; list, counter and servers are reached after.

Seen, by the test for it, on a process with 256 descriptors: it never served. Its log: "Exception in thread multiThreadIoEventLoopGroup-2-1 java.lang.NoClassDefFoundError: Could not initialize class java.time.zone.ZoneRulesProvider", below JdkLogger.warn and ServerBootstrapAcceptor.exceptionCaught.

- The rehearsal may hold as many connections to its servers as the node later does (3/8 of the descriptors), but both ends of each are its own: on a fast machine it ran out of them.
It is now given half.
- Where no descriptor is left the library logs a warning, the platform's formatter reads the time zones' file for it, can't open it, and the error ends the loop's thread, not the process.
Lines now are plain and read no file.
The same would have come to a serving node at its first refused accept.

The test fails on the text before: "the process ended before it said: serving on".

--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
 import thistlefall.drill.Drill;
 
 /** The program: {@code serve} runs a real edge node, {@code drill} the decisions on the simulator's wire. */
@@ -33,6 +35,9 @@
         }
         // Said outright, or Netty looks for the other libraries first, which takes a part of the start.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.setFormatter(new PlainLines());
+        }
         try {
             Path path = Path.of(file);
             AtomicReference<EdgeNode> serving = new AtomicReference<>();
--- a/src/main/java/thistlefall/node/Rehearsal.java
+++ b/src/main/java/thistlefall/node/Rehearsal.java
@@ -108,7 +108,8 @@
         }
         SocketAddress peer = members.get(0).address();
         Config mine = new Config(file("n"), peer, config.counter() == null ? null : peer, config.seed(),
-            config.sockets(), config.memory(), config.cores(), new Config.Roll(1, true, members), config.connectTimeout(),
+            // Both ends of each connection are this process's.
+            config.sockets() / 2, config.memory(), config.cores(), new Config.Roll(1, true, members), config.connectTimeout(),
             config.keepAlive(), config.names(), unceiled(config.settings()));
         try (EdgeNode node = new EdgeNode(mine)) {
             node.start();
--- a/src/test/java/thistlefall/node/DeployTest.java
+++ b/src/test/java/thistlefall/node/DeployTest.java
@@ -1,16 +1,21 @@
 package thistlefall.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -139,4 +144,70 @@
             assertEquals("200", ask(client, "g-" + i));
         }
     }
+
+    private static Socket connect(InetSocketAddress node) throws IOException {
+        Socket socket = new Socket();
+        socket.setSoTimeout(60_000);
+        socket.connect(node, 60_000);
+        return socket;
+    }
+
+    /** Idle clients come as long as discovery is down; what the node needs for itself is not theirs to take. */
+    @Test
+    void idleClientsThatFillTheDescriptorsLeaveRoomForListCounterAndServers() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        CompletableFuture<Void> back = new CompletableFuture<>();
+        CompletableFuture<Void> asked = new CompletableFuture<>();
+        counting = m -> {
+            asked.complete(null);
+            m.answer(Peer.ok("", "1"));
+        };
+        discovery = peer(m -> {
+            back.join();
+            m.answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            m.answer(chunk("{\"revision\":6,\"complete\":true,\"members\":["
+                + member("s-1", server.address(), "Ready", 0) + "]}\n"));
+        });
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config().replace("\"sockets\": 1024", "\"sockets\": 256"));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n 256; " + run())
+            .redirectErrorStream(true);
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("CLASSES", System.getProperty("java.class.path"));
+        Process process = builder.start();
+        toClose.add(process::destroyForcibly);
+        // A node that hangs is ended, so that what waits for its word fails.
+        CompletableFuture.delayedExecutor(90, TimeUnit.SECONDS).execute(process::destroyForcibly);
+        BufferedReader said = new BufferedReader(
+            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        String[] at = ReloadTest.await(said, "serving on").replaceAll(".*/", "").split(":");
+        StringBuilder lines = new StringBuilder();
+        Thread reading = new Thread(() -> said.lines().forEach(line -> {
+            synchronized (lines) {
+                lines.append(line).append('\n');
+            }
+        }));
+        reading.setDaemon(true);
+        reading.start();
+        InetSocketAddress node = new InetSocketAddress(at[0], Integer.parseInt(at[1]));
+        for (int i = 0; i < 400; i++) {
+            toClose.add(connect(node));
+        }
+        back.complete(null);
+        String status = "";
+        for (int i = 0; !status.equals("200"); i++) {
+            // Each on a connection of its own, beside one more idle one.
+            toClose.add(connect(node));
+            Socket usual = connect(node);
+            toClose.add(usual);
+            Map<String, String> headers = headers("u-" + i, "order", "20000");
+            headers.put("X-Quota", "units=1,spread=2,first=0");
+            write(usual, "POST /api", headers, "book");
+            status = status(Peer.read(usual));
+        }
+        asked.get();
+        synchronized (lines) {
+            assertFalse(lines.toString().contains("open files"), lines.toString());
+        }
+    }
 }
