--- a/emulator/src/main/java/merlinrouter/emulator/Client.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Client.java
@@ -100,7 +100,7 @@
         return request.requestClass.method() + " /api?slot=1 HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + request.id
             + "\r\nX-Qos: " + request.requestClass.wireName() + "\r\nX-Plan: team\r\n"
             + "Cookie: customer=" + String.format("%016x", Integer.toUnsignedLong(request.id.hashCode()) % 64)
-            + "\r\nX-Expires-In-Ms: " + request.waitMillis + "\r\nX-Quota: units=1,spread=1,first=0\r\n"
+            + "\r\nX-Expires-In-Ms: " + request.waitMillis + "\r\nX-Quota: units=1,spread=2,first=0\r\n"
             + (keyed ? "Idempotency-Key: key-" + request.id + "\r\n" : "")
             + (hasBody ? "Content-Length: " + body.length() + "\r\n" : "") + "\r\n" + body;
     }
--- a/emulator/src/main/java/merlinrouter/emulator/Fleet.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Fleet.java
@@ -55,7 +55,7 @@
             String name = "n" + i;
             NodeProcess process = new NodeProcess(root, folder, name, freePort(), shim.environment());
             nodes.add(new Node(name, process, shim));
-            process.configure(NodeConfiguration.of(i, count, process.port(), discovery, counter, discovery.snapshot()));
+            process.configure(NodeConfiguration.of(i, Math.max(2, count), process.port(), discovery, counter, discovery.snapshot()));
             process.start();
         }
         for (Node node : nodes) {
--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -63,12 +63,14 @@
      */
     private static final long MS = 1_000_000L, WHOLE = 2_500 * MS, IDLE = 2_000 * MS, SWEEP = 250 * MS;
 
+
     private final EdgeNode node;
     private final EventLoop loop;
     private final Config config;
     private final ByteBudget budget;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final int most, mostKept;
+    private final AcceptRetry acceptRetry;
     private Channel listening;
     private boolean draining;
     private CompletableFuture<Void> drained;
@@ -78,6 +80,7 @@
         this.budget = budget;
         this.loop = loop;
         this.config = config;
+        acceptRetry = new AcceptRetry(node.log());
         // Half of the descriptors; app servers have three eighths, the rest is the process's own.
         most = Math.max(8, config.sockets() / 2);
         mostKept = Math.max(4, config.sockets() / 6);
@@ -99,6 +102,7 @@
     private void bind(CompletableFuture<Void> bound) {
         Transport.listening(loop, config.listen()).option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, READ))
+            .handler(acceptRetry)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -45,6 +45,7 @@
     private final EventLoop loop = group.next();
     /** The module's clock: the wall's time at the start, going on by the clock that never jumps. */
     private final long clockOffset = System.currentTimeMillis() * MS - System.nanoTime();
+    private final NodeLog log = new NodeLog();
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final ByteBudget budget;
     private final ServerPool pool;
@@ -92,6 +93,10 @@
         return loop;
     }
 
+    NodeLog log() {
+        return log;
+    }
+
     /** How many bytes clients' requests hold. */
     long held() {
         return budget.used();
