Pass on answers without a length once their connection has ended in order

Cause: AnswerHandler.isFramed called every answer with neither a length nor chunks spoilt.

Change: an app server's 200 answer without a length is taken at the peer's FIN, which TcpChannel tells from a reset, an error and a close of the node's own. Counter and discovery keep asking for a length.

--- a/src/main/java/thistlefall/node/AnswerHandler.java
+++ b/src/main/java/thistlefall/node/AnswerHandler.java
@@ -25,6 +25,8 @@
     private HttpResponse head;
     private int informational;
     private boolean spoilt;
+    /** The answer that is coming has no length: only the peer's orderly end tells that it is whole. */
+    private boolean endsWithConnection;
 
     AnswerHandler(int most) {
         this.most = most;
@@ -40,6 +42,11 @@
     /** Whether an answer may come now: one that nobody waits for belongs to nothing. */
     abstract boolean expectsAnswer();
 
+    /** Whether an answer without a length is taken, once the peer has ended the connection in order. */
+    boolean takesAnswersWithoutLength() {
+        return false;
+    }
+
     @Override
     protected final void channelRead0(ChannelHandlerContext context, HttpObject part) {
         if (spoilt) {
@@ -51,8 +58,9 @@
         }
         if (part instanceof HttpResponse begun) {
             head = begun;
+            endsWithConnection = takesAnswersWithoutLength() && !isInformational() && hasNoLength(begun);
             if (isInformational() ? begun.status().code() == 101 || ++informational > MOST_INFORMATIONAL
-                : !isFramed(begun)) {
+                : !endsWithConnection && !isFramed(begun)) {
                 spoil();
                 return;
             }
@@ -61,15 +69,30 @@
             spoil();
         }
         if (part instanceof LastHttpContent && !spoilt) {
-            finish();
+            if (endsWithConnection && !isInputEnded(context)) {
+                spoil();
+            } else {
+                finish();
+            }
         }
     }
 
+    /** A reset, an error and a close of ours leave the rest of an answer unknown. */
+    private static boolean isInputEnded(ChannelHandlerContext context) {
+        return context.channel() instanceof TcpChannel channel && channel.isInputEnded();
+    }
+
+    private static boolean hasNoLength(HttpResponse begun) {
+        int status = begun.status().code();
+        return status != 204 && status != 304 && !begun.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+            && !begun.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    }
+
     private boolean isInformational() {
         return head.status().code() < 200;
     }
 
-    /** Without a length an answer ends with the connection, and nothing tells whether that was its end. */
+    /** Whether the head says where the answer ends. */
     private boolean isFramed(HttpResponse begun) {
         String coding = begun.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
         if (coding != null) {
--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -306,6 +306,11 @@
             channel = context.channel();
         }
 
+        @Override
+        boolean takesAnswersWithoutLength() {
+            return true;
+        }
+
         void write(Attempt next) {
             if (!next.over && !next.of.awaited()) {
                 // The client left while the connect was out: what nobody waits for is not begun.
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -104,6 +104,22 @@
         }
     }
 
+    @Test
+    void anAnswerWithoutALengthIsPassedOnOnceItsConnectionHasEndedInOrder() throws Exception {
+        Peer server = peer(m -> {
+            m.answer("HTTP/1.1 200 OK\r\n\r\nfirst part, ");
+            m.answer("and the rest");
+            m.socket().close();
+        });
+        Socket client = client(node(server));
+        for (String id : List.of("t-1", "t-2")) {
+            write(client, "POST /api", headers(id, "strict", "20000"), "book");
+            Peer.Message answer = Peer.read(client);
+            assertEquals("200", status(answer));
+            assertEquals("first part, and the rest", answer.body());
+        }
+    }
+
     /** An unsafe request that may have run is failed, not refused: a refusal invites the client to repeat it. */
     @Test
     void anUnsafeRequestIsSentOnceMoreOnlyIfItNeverRan() throws Exception {
@@ -113,6 +129,8 @@
             Peer server = peer(m -> {
                 m.answer(answer);
                 if (!answer.startsWith("HTTP/1.1 50")) {
+                    // A reset: the end that an answer without a length has in order would be a whole answer's.
+                    m.socket().setSoLinger(!answer.contains("Content-Length"), 0);
                     m.socket().close();
                 }
             });
