Add failing tests of a shutdown, attempts, lists and counts whose own socket calls fail

On with the shim: one ENFILE of accept before SIGTERM, and of eight clients that had connected and written seven were closed without an answer after 606 ms; one ENFILE of socket, and an attempt ended only with its time (429 after 2,376 ms); 24 of them, and neither a list nor a count came any more.

--- a/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
@@ -4,7 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import merlinrouter.emulator.FaultShim.Call;
 import merlinrouter.emulator.MatchServer.Behavior;
 import merlinrouter.emulator.MatchServer.Treatment;
@@ -22,6 +25,8 @@
     private static final long LONG_WAIT = 2_400;
     /** Shorter than the pause that the network library makes after a failed accept (1 s). */
     private static final long SLOW_ANSWER = 900;
+    private static final int MOST_TURNS = 600;
+    private static final long TURN_MILLIS = 20;
 
     @TempDir
     Path folder;
@@ -88,6 +93,70 @@
         }
     }
 
+    @Test
+    void whoConnectedBeforeAShutdownsGraceEndsIsAnsweredThoughAnAcceptFailed() throws Exception {
+        Fleet.Node node = startNode(always(Behavior.ANSWER, 0));
+        assertServed(exchange(client(node), RequestClass.LOOKUP));
+        node.shim().failNext(Call.ACCEPT, 1, Errno.ENFILE.number());
+        List<Client> clients = new ArrayList<>();
+        List<RequestRecord> requests = new ArrayList<>();
+        List<Thread> waiting = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Client client = client(node);
+            RequestRecord request = open(RequestClass.LOOKUP, LONG_WAIT);
+            client.send(request, 0);
+            clients.add(client);
+            requests.add(request);
+        }
+        node.process().signal("TERM");
+        for (int i = 0; i < clients.size(); i++) {
+            Client client = clients.get(i);
+            RequestRecord request = requests.get(i);
+            waiting.add(Threads.daemon("client", () -> client.receive(request)));
+        }
+        for (Thread thread : waiting) {
+            thread.join();
+        }
+        requests.forEach(request -> assertEquals(End.ANSWERED, request.end, request.toString()));
+        assertTrue(node.process().awaitExit(Duration.ofSeconds(60)));
+        assertEquals(0, node.process().exitValue());
+    }
+
+    @Test
+    void anAttemptWhoseOwnSocketFailedIsMadeAgainAtOnce() throws Exception {
+        for (Errno error : List.of(Errno.ENFILE, Errno.EMFILE, Errno.ENOBUFS)) {
+            Fleet.Node node = fleet.nodes().isEmpty() ? startNode(always(Behavior.ANSWER, 0)) : fleet.nodes().get(0);
+            // The counter's connections are up, so that the next one is to the server.
+            assertServed(exchange(client(node), RequestClass.LOOKUP));
+            fleet.servers().get(0).resetAll();
+            node.shim().failNext(Call.SOCKET, 1, error.number());
+            assertServed(exchange(client(node), RequestClass.TRANSFER));
+        }
+    }
+
+    @Test
+    void listsAndCountsGoOnAfterSocketsFailedForAWhile() throws Exception {
+        Fleet.Node node = startNode(always(Behavior.ANSWER, 0));
+        assertServed(exchange(client(node), RequestClass.LOOKUP));
+        node.shim().failNext(Call.SOCKET, 24, Errno.ENFILE.number());
+        fleet.discovery().resetAll();
+        fleet.counter().resetAll();
+        Client client = client(node);
+        askUntil(client, () -> node.shim().hits(Call.SOCKET) == 24, "no socket failed");
+        MatchServer added = fleet.addServer(always(Behavior.ANSWER, 0), 0);
+        long calls = fleet.counter().calls();
+        askUntil(client, () -> fleet.ledger().attemptsAt(added.id()) > 0, "the list was not told any more");
+        askUntil(client, () -> fleet.counter().calls() > calls, "the counter was not called any more");
+    }
+
+    private void askUntil(Client client, BooleanSupplier done, String otherwise) throws Exception {
+        for (int i = 0; i < MOST_TURNS && !done.getAsBoolean(); i++) {
+            exchange(client, RequestClass.LOOKUP);
+            Thread.sleep(TURN_MILLIS);
+        }
+        assertTrue(done.getAsBoolean(), otherwise);
+    }
+
     @Test
     void interruptedWaitsAndShortReadsAndWritesLoseNothing() throws Exception {
         Fleet.Node node = startNode(always(Behavior.ANSWER, 0), always(Behavior.ANSWER, 0));
