Make again what failed in the node's own socket calls, and end nothing for it

Cause: where socket() fails the library hands out a stand-in channel that belongs to no event loop. Its close throws, so ServerPool.connect's listener never told the attempt's end (it ended with its time: 429 after 2,376 ms, and the count of connections leaked), DiscoveryClient.watch threw in its timer and opened no further watch, and CounterClient.Line.die left a dead line in its place; it also told its listeners on another thread. Where connect() fails in the node the server was shunned for it (server shunned: s-0 after CONNECT_FAILED).

Change: Transport.hasChannel and isLocalFailure tell the node's own failures; an attempt's connect is tried again every 5 ms within one connect's time-out, and ends as never sent; watches and lines are opened again; a drain looks again behind a failed accept. An idle connection is read once before it is used, so that a close that has come is seen.

--- a/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
@@ -1,6 +1,7 @@
 package merlinrouter.emulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
@@ -25,6 +26,7 @@
     private static final long LONG_WAIT = 2_400;
     /** Shorter than the pause that the network library makes after a failed accept (1 s). */
     private static final long SLOW_ANSWER = 900;
+    private static final int PARALLEL = 8;
     private static final int MOST_TURNS = 600;
     private static final long TURN_MILLIS = 20;
 
@@ -134,6 +136,20 @@
         }
     }
 
+    @Test
+    void anAttemptWhoseOwnConnectFailedIsMadeAgainAtOnce() throws Exception {
+        for (Errno error : List.of(Errno.EADDRNOTAVAIL, Errno.ENETUNREACH, Errno.ENOBUFS)) {
+            Fleet.Node node = fleet.nodes().isEmpty() ? startNode(always(Behavior.ANSWER, 0)) : fleet.nodes().get(0);
+            // The counter's connections are up, so that the next one is to the server.
+            assertServed(exchange(client(node), RequestClass.LOOKUP));
+            fleet.servers().get(0).resetAll();
+            node.shim().failNext(Call.CONNECT, 1, error.number());
+            assertServed(exchange(client(node), RequestClass.TRANSFER));
+            String log = node.process().logText();
+            assertFalse(log.contains("shunned: s-"), error + ", the node's own failure, was taken for its server's: " + log);
+        }
+    }
+
     @Test
     void listsAndCountsGoOnAfterSocketsFailedForAWhile() throws Exception {
         Fleet.Node node = startNode(always(Behavior.ANSWER, 0));
@@ -179,6 +195,36 @@
         }
     }
 
+    @Test
+    void aServerThatStartsBehindAWallClockStepIsStillColdStarted() throws Exception {
+        MatchServer.Script script = always(Behavior.ANSWER, 10);
+        Fleet.Node node = startNode(script, script, script, script);
+        askInParallel(node, 400);
+        for (Duration step : List.of(Duration.ofHours(-1), Duration.ofHours(1))) {
+            node.shim().setWallClockOffset(step);
+            // Servers tell their start by the same wall clock that the node reads.
+            MatchServer started = fleet.addServer(script, System.currentTimeMillis() + step.toMillis());
+            askInParallel(node, 400);
+            long attempts = fleet.ledger().attemptsAt(started.id());
+            assertTrue(attempts <= 40, step + ": " + attempts + " of 400 went to a server that had just started");
+        }
+    }
+
+    private void askInParallel(Fleet.Node node, int requests) throws Exception {
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < PARALLEL; i++) {
+            Client client = client(node);
+            threads.add(Threads.daemon("client", () -> {
+                for (int j = 0; j < requests / PARALLEL; j++) {
+                    client.exchange(open(RequestClass.LOOKUP, LONG_WAIT));
+                }
+            }));
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
     @Test
     void wholeAnswersWithoutALengthArePassedOnAndResetOnesAreNot() throws Exception {
         Fleet.Node node = startNode(id -> new Treatment(fleet.ledger().isMarked(id) ? Behavior.RESET_WITHOUT_LENGTH
--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -63,6 +63,8 @@
      */
     private static final long MS = 1_000_000L, WHOLE = 2_500 * MS, IDLE = 2_000 * MS, SWEEP = 250 * MS;
 
+    /** Behind a failed accept a drain looks again after so long, which is longer than that pauses. */
+    private static final long LAST_LOOK = 20 * MS;
 
     private final EdgeNode node;
     private final EventLoop loop;
@@ -137,6 +139,12 @@
 
     /** Nobody comes any more: the listening socket and the connections between requests go. */
     void stopAccepting(CompletableFuture<Void> done) {
+        if (acceptRetry.isFailing()) {
+            // Who has connected and could not be accepted yet would be reset with the listening socket.
+            loop.schedule(() -> loop.schedule(() -> stopAccepting(done), 0, TimeUnit.NANOSECONDS), LAST_LOOK,
+                TimeUnit.NANOSECONDS);
+            return;
+        }
         drained = done;
         if (listening != null) {
             listening.close();
--- a/src/main/java/thistlefall/node/CounterClient.java
+++ b/src/main/java/thistlefall/node/CounterClient.java
@@ -176,6 +176,10 @@
                 }
             }).connect(address);
             channel = connecting.channel();
+            if (!Transport.hasChannel(connecting)) {
+                loop.execute(this::die);
+                return;
+            }
             connecting.addListener(done -> {
                 if (done.isSuccess()) {
                     connected = true;
@@ -221,7 +225,9 @@
                 return;
             }
             dead = true;
-            channel.close();
+            if (channel.isRegistered()) {
+                channel.close();
+            }
             if (place.line == this) {
                 place.line = null;
             }
--- a/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -134,7 +135,13 @@
         if (mute.size() >= MOST_MUTE) {
             mute.poll().close();
         }
-        Channel channel = bootstrap.connect(address).channel();
+        ChannelFuture connecting = bootstrap.connect(address);
+        if (!Transport.hasChannel(connecting)) {
+            node.log().count(NodeLog.Event.LOCAL_CONNECT_FAILED);
+            watchAfter(FIRST_BACKOFF_MS);
+            return;
+        }
+        Channel channel = connecting.channel();
         mute.add(channel);
         opened++;
         channel.closeFuture().addListener(closed -> ended(channel));
--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -38,9 +39,14 @@
     /** An answer holds 64 KiB at most: one begun and not whole after so long is spoilt and will not get better. */
     private static final long ANSWER_SPAN = 250 * MS;
 
+    /** Between two tries of what failed in this process: short against a connect's time-out. */
+    private static final long LOCAL_RETRY = 5 * MS;
+
     private final EdgeNode node;
     private final EventLoop loop;
     private final Bootstrap bootstrap;
+    private final NodeLog log;
+    private final long connectTimeout;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     /** Who has an address: looked for among all of a thousand, each list would cost a million comparisons. */
     private final Map<SocketAddress, Endpoint> holders = new HashMap<>();
@@ -52,12 +58,14 @@
     ServerPool(EdgeNode node, EventLoop loop, Config config) {
         this.node = node;
         this.loop = loop;
+        log = node.log();
+        connectTimeout = Math.max(MS, config.connectTimeout());
         // Well before the app server does: a request written to a connection that it closes ends as a reset.
         idleLimit = config.keepAlive() / 2;
         mostUnits = config.settings().counter().largest();
         most = Math.max(16, config.sockets() * 3 / 8);
         bootstrap = Transport.connecting(loop, config.discovery())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS))
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeout / MS))
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
@@ -174,6 +182,9 @@
         // Looked at here too: the sweep is too coarse where connections may stand idle for a short span only.
         endpoint.closeIdleSince(System.nanoTime() - idleLimit);
         Connection ready = endpoint.rested();
+        while (ready != null && !ready.isStillOpen()) {
+            ready = endpoint.rested();
+        }
         if (ready != null) {
             ready.write(attempt);
         } else {
@@ -182,21 +193,50 @@
     }
 
     private void connect(Endpoint endpoint, Attempt attempt) {
-        ChannelFuture connecting = bootstrap.connect(endpoint.address);
+        long left = connectTimeout - (System.nanoTime() - attempt.sentAt);
+        ChannelFuture connecting = bootstrap.clone()
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, left / MS)).connect(endpoint.address);
+        if (!Transport.hasChannel(connecting)) {
+            connectAgain(endpoint, attempt);
+            return;
+        }
         connections++;
         connecting.channel().closeFuture().addListener(closed -> connections--);
         connecting.addListener(done -> {
-            if (!done.isSuccess() || endpoint.retired) {
-                connecting.channel().close();
-                attempt.end(Outcome.CONNECT_FAILED, 0, null);
+            if (done.isSuccess() && !endpoint.retired) {
+                Connection made = connecting.channel().pipeline().get(Connection.class);
+                made.endpoint = endpoint;
+                made.write(attempt);
                 return;
             }
-            Connection made = connecting.channel().pipeline().get(Connection.class);
-            made.endpoint = endpoint;
-            made.write(attempt);
+            connecting.channel().close();
+            if (!done.isSuccess() && Transport.isLocalFailure(done.cause())) {
+                connectAgain(endpoint, attempt);
+            } else {
+                attempt.end(Outcome.CONNECT_FAILED, 0, null);
+            }
         });
     }
 
+    /**
+     * Tries again what failed in this process: nothing has gone to the server, and it is not the server's failure. All
+     * tries of an attempt together take no longer than one connect may, which the window of a key relies on.
+     */
+    private void connectAgain(Endpoint endpoint, Attempt attempt) {
+        log.count(NodeLog.Event.LOCAL_CONNECT_FAILED);
+        loop.schedule(() -> {
+            boolean late = System.nanoTime() - attempt.sentAt > connectTimeout - LOCAL_RETRY;
+            if (attempt.over) {
+                return;
+            }
+            if (late || endpoint.retired || !attempt.of.awaited()) {
+                attempt.end(Outcome.NOT_SENT, 0, null);
+            } else {
+                connect(endpoint, attempt);
+            }
+        }, LOCAL_RETRY, TimeUnit.NANOSECONDS);
+    }
+
     /** At the bound on connections another server's longest idle one gives way. */
     private boolean makeRoom(Endpoint wanted) {
         if (!wanted.idle.isEmpty()) {
@@ -306,6 +346,14 @@
             channel = context.channel();
         }
 
+        /** Reads what may stand before the next request: the server's close, or what belongs to no request. */
+        boolean isStillOpen() {
+            if (channel.isActive()) {
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+            }
+            return channel.isActive();
+        }
+
         @Override
         boolean takesAnswersWithoutLength() {
             return true;
@@ -314,6 +362,7 @@
         void write(Attempt next) {
             if (!next.over && !next.of.awaited()) {
                 // The client left while the connect was out: what nobody waits for is not begun.
+                log.count(NodeLog.Event.ATTEMPT_WITHHELD);
                 next.end(Outcome.NOT_SENT, 0, null);
             }
             if (next.over) {
@@ -415,6 +464,9 @@
         @Override
         void spoilt() {
             awaitRest(false);
+            if (attempt != null) {
+                log.request(NodeLog.Event.SPOILT_ANSWER, attempt.of.request.id(), "by " + attempt.server);
+            }
             if (endpoint != null) {
                 endpoint.idle.remove(this);
             }
