Take starts of servers over to the monotonic clock once, whatever the wall clock does

Cause: EdgeNode.clockOffset ties the module's clock to the wall's once, at the node's start, and Config.roll passed the wall-clock start of a server on as a moment of that clock.

Change: ServerStartTimes turns each start into a monotonic moment when it is first told, by the wall clock's distance then; where that stepped within a slow start's span the younger age counts.

--- a/src/main/java/thistlefall/Ports.java
+++ b/src/main/java/thistlefall/Ports.java
@@ -168,6 +168,10 @@
     /** An entry of the server list; {@code startedAt} is 0 for a server that started long ago. */
     public record Server(String id, double size, int zone, int cell, int kind, Readiness readiness,
                          long startedAt) {
+        /** The same server with another moment of its start. */
+        public Server startingAt(long moment) {
+            return new Server(id, size, zone, cell, kind, readiness, moment);
+        }
     }
 
     /**
--- a/src/main/java/thistlefall/node/Config.java
+++ b/src/main/java/thistlefall/node/Config.java
@@ -141,8 +141,7 @@
                 case "Gone" -> Readiness.GONE;
                 default -> Readiness.DRAINING;
             };
-            // The module's clock starts at the wall clock's time, so a start needs no more than a new unit;
-            // it compares starts to tell a restart, so the same start must give the same number every time.
+            // The wall clock's time here; ServerStartTimes turns it into the module's.
             long started = Math.max(0, entry.path("up_since_ms").asLong(0)) * 1_000_000L;
             members.add(new Member(new Server(id, entry.path("size").asDouble(1),
                 names.zones.indexOf(entry.path("locality").asText()), entry.path("cell").asInt(0),
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -7,9 +7,12 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.SocketAddress;
 import java.nio.channels.spi.SelectorProvider;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
@@ -38,15 +41,18 @@
     private static final long LATE_MODULE = 6 * MS;
     /** How long connections go on coming after SIGTERM (0.4 s at most), and some more. */
     private static final long DRAIN_GRACE = 600 * MS;
+    /** How often the wall clock is compared with the monotonic one. */
+    private static final long CLOCK_LOOK = 500 * MS;
 
     private final Looks looks = new Looks();
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
         NioIoHandler.newFactory(SelectorProvider.provider(), () -> looks));
     private final EventLoop loop = group.next();
-    /** The module's clock: the wall's time at the start, going on by the clock that never jumps. */
+    /** The module's clock is monotonic; it starts at the wall's time, which nothing relies on. */
     private final long clockOffset = System.currentTimeMillis() * MS - System.nanoTime();
     private final NodeLog log = new NodeLog();
     private final Map<String, OpenRequest> open = new HashMap<>();
+    private final ServerStartTimes startTimes;
     private final ByteBudget budget;
     private final ServerPool pool;
     private final CounterClient counter;
@@ -60,6 +66,7 @@
     EdgeNode(Config config) {
         this.config = config;
         budget = new ByteBudget(config.memory());
+        startTimes = new ServerStartTimes(config.settings().rules().coldSpan(), log);
         pool = new ServerPool(this, loop, config);
         counter = new CounterClient(this::counted, loop, config);
         discovery = new DiscoveryClient(this, loop, config);
@@ -70,6 +77,7 @@
     void start() throws Exception {
         loop.submit(() -> {
             gateway = new Gateway(config.settings(), config.seed(), now(), this);
+            loop.scheduleAtFixedRate(this::housekeeping, CLOCK_LOOK, CLOCK_LOOK, TimeUnit.NANOSECONDS);
             list(config.known(), ListKind.CACHED);
             discovery.start(config.known().revision());
             if (early != null) {
@@ -79,6 +87,11 @@
         clients.bind().get();
     }
 
+    private void housekeeping() {
+        lookAtClocks();
+        log.tick();
+    }
+
     /** Where clients connect. */
     SocketAddress address() {
         return clients.address();
@@ -204,10 +217,31 @@
 
     /** The list of app servers, or changes to it. */
     void list(Config.Roll roll, ListKind kind) {
-        List<Server> told = pool.update(roll, kind != ListKind.DELTA);
+        List<Server> told = pool.update(withMonotonicStarts(roll), kind != ListKind.DELTA);
         event(null, now -> gateway.list(now, kind, told));
     }
 
+    private Config.Roll withMonotonicStarts(Config.Roll roll) {
+        lookAtClocks();
+        long now = now();
+        List<Config.Member> members = new ArrayList<>();
+        Set<String> named = new HashSet<>();
+        for (Config.Member member : roll.members()) {
+            Server server = member.server();
+            named.add(server.id());
+            long started = startTimes.momentOf(server.id(), server.startedAt(), now);
+            members.add(new Config.Member(server.startingAt(started), member.address()));
+        }
+        if (roll.complete()) {
+            startTimes.retain(named);
+        }
+        return new Config.Roll(roll.revision(), roll.complete(), members);
+    }
+
+    private void lookAtClocks() {
+        startTimes.look(now(), System.currentTimeMillis() * MS);
+    }
+
     /** Whether discovery has been heard, or has been silent for so long that the known list must do. */
     boolean ready() {
         return discovery.heard();
