--- a/emulator/src/main/java/merlinrouter/emulator/Client.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Client.java
@@ -24,7 +24,7 @@
         receive(request);
     }
 
-    /** Sends a request in pieces with pauses and leaves after {@code stay} without reading an answer. */
+    /** Sends a request and leaves after {@code stayMillis} without reading an answer. */
     void sendAndLeave(RequestRecord request, long stayMillis) throws InterruptedException {
         send(request, 0);
         Thread.sleep(stayMillis);
@@ -39,8 +39,10 @@
         byte[] bytes = text(request).getBytes(StandardCharsets.ISO_8859_1);
         try {
             request.reusedConnection = socket != null;
-            if (socket == null) {
-                connect();
+            if (socket == null && !connect()) {
+                request.sentAt = System.nanoTime();
+                request.end(RequestRecord.End.NOT_CONNECTED);
+                return;
             }
             int first = pauseMillis > 0 ? bytes.length / 2 : bytes.length;
             socket.getOutputStream().write(bytes, 0, first);
@@ -55,11 +57,21 @@
         }
     }
 
-    private void connect() throws IOException {
+    /** Whether it holds a connection. */
+    boolean isConnected() {
+        return socket != null;
+    }
+
+    private boolean connect() {
         Socket made = new Socket();
-        made.setTcpNoDelay(true);
-        made.connect(new InetSocketAddress("127.0.0.1", port), EXTRA_WAIT_MILLIS);
-        socket = made;
+        try {
+            made.setTcpNoDelay(true);
+            made.connect(new InetSocketAddress("127.0.0.1", port), EXTRA_WAIT_MILLIS);
+            socket = made;
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     /** Waits for the end of a request that was sent. */
--- a/emulator/src/main/java/merlinrouter/emulator/Ledger.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Ledger.java
@@ -22,7 +22,7 @@
     }
 
     @Override
-    public Runnable arrived(MatchServer server, HttpMessage message) {
+    public Runnable arrived(MatchServer server, HttpMessage message, MatchServer.Treatment treatment) {
         long now = System.nanoTime();
         RequestRecord request = requests.get(message.headers().getOrDefault("x-trace-id", ""));
         if (request == null) {
@@ -30,7 +30,8 @@
             return () -> { };
         }
         long told = Long.parseLong(message.headers().getOrDefault("x-expires-in-ms", "0"));
-        RequestRecord.Attempt attempt = request.addAttempt(new RequestRecord.Attempt(server.id(), now, told));
+        boolean neverRuns = treatment.behavior() == MatchServer.Behavior.TURN_AWAY;
+        RequestRecord.Attempt attempt = request.addAttempt(new RequestRecord.Attempt(server.id(), now, told, neverRuns));
         return () -> attempt.endedAt = System.nanoTime();
     }
 
--- a/emulator/src/main/java/merlinrouter/emulator/MatchServer.java
+++ b/emulator/src/main/java/merlinrouter/emulator/MatchServer.java
@@ -41,8 +41,8 @@
 
     /** Hears of attempts. */
     interface Observer {
-        /** A whole request arrived; the returned handle is told of its end. */
-        Runnable arrived(MatchServer server, HttpMessage request);
+        /** A whole request arrived, to be treated so; the returned handle is told of its end. */
+        Runnable arrived(MatchServer server, HttpMessage request, Treatment treatment);
     }
 
     /** Splits a body without a length over several writes, so that its end is told by the close alone. */
@@ -81,9 +81,9 @@
                 return;
             }
             String requestId = request.headers().getOrDefault("x-trace-id", "");
-            Runnable ended = observer.arrived(this, request);
+            Treatment treatment = script.next(requestId);
+            Runnable ended = observer.arrived(this, request, treatment);
             try {
-                Treatment treatment = script.next(requestId);
                 Thread.sleep(treatment.delayMillis());
                 open = treat(socket, treatment.behavior(), requestId);
             } finally {
--- a/emulator/src/main/java/merlinrouter/emulator/RequestRecord.java
+++ b/emulator/src/main/java/merlinrouter/emulator/RequestRecord.java
@@ -18,6 +18,8 @@
         CLOSED_BY_NODE,
         /** Nothing came by the end of the client's patience. */
         NO_ANSWER,
+        /** Nobody listened: the request was never sent. */
+        NOT_CONNECTED,
         /** The client closed first. */
         CLIENT_LEFT
     }
@@ -27,10 +29,12 @@
         final String server;
         final long arrivedAt;
         final long expiresInMillis;
+        /** Its answer proves that it never ran. */
+        final boolean provedNotRun;
         volatile long endedAt;
-        volatile boolean provedNotRun;
 
-        Attempt(String server, long arrivedAt, long expiresInMillis) {
+        Attempt(String server, long arrivedAt, long expiresInMillis, boolean provedNotRun) {
+            this.provedNotRun = provedNotRun;
             this.server = server;
             this.arrivedAt = arrivedAt;
             this.expiresInMillis = expiresInMillis;
