Check each attempt, repeat and close against the invariants, and count what would break one

InvariantGuard is the one place that lets an attempt begin, a request be repeated and a client's connection be closed unasked. NodeLog counts refusals, failures, retries, withheld attempts, clients that left, idle closes, bad requests, overdue answers and held loops, every 10 s where they grow, and names the request of each failure.

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -151,7 +151,7 @@
         }
         for (Session session : List.copyOf(sessions)) {
             if (session.isBetween()) {
-                session.channel.close();
+                session.end("at the end of a drain");
             }
         }
         finishDrain();
@@ -177,8 +177,7 @@
             }
         }
         if (least != null) {
-            least.closing = true;
-            least.channel.close();
+            least.end("to make room");
         }
         return least != null;
     }
@@ -433,6 +432,14 @@
             if (begun && !closing && age > WHOLE) {
                 refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come");
             } else if ((closing || !begun) && age > IDLE) {
+                end("idle");
+            }
+        }
+
+        /** Closes the connection unasked, which must not cost a request its answer. */
+        private void end(String why) {
+            if (node.guard().mayClose(current, why)) {
+                node.log().count(NodeLog.Event.IDLE_CLOSED);
                 closing = true;
                 channel.close();
             }
@@ -537,6 +544,7 @@
 
         /** Turns away what is no request. Nothing behind it is read: it may be a part of it. */
         private void refuse(HttpResponseStatus status, String why) {
+            node.log().count(NodeLog.Event.BAD_REQUEST);
             keepAlive = false;
             head = null;
             body.take().release();
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -20,6 +20,7 @@
 import thistlefall.Ports;
 import thistlefall.Ports.ListKind;
 import thistlefall.Ports.Outcome;
+import thistlefall.Ports.RequestClass;
 import thistlefall.Ports.Result;
 import thistlefall.Ports.Server;
 
@@ -43,6 +44,8 @@
     private static final long DRAIN_GRACE = 600 * MS;
     /** How often the wall clock is compared with the monotonic one. */
     private static final long CLOCK_LOOK = 500 * MS;
+    /** A turn of the loop that is late by more than this is counted: the rules allow for 0.15 s. */
+    private static final long LOOP_HELD = 150 * MS;
 
     private final Looks looks = new Looks();
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
@@ -51,6 +54,7 @@
     /** The module's clock is monotonic; it starts at the wall's time, which nothing relies on. */
     private final long clockOffset = System.currentTimeMillis() * MS - System.nanoTime();
     private final NodeLog log = new NodeLog();
+    private final InvariantGuard guard = new InvariantGuard(log);
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final ServerStartTimes startTimes;
     private final ByteBudget budget;
@@ -62,6 +66,7 @@
     private Gateway gateway;
     private Config early;
     private boolean inside;
+    private long lastHousekeeping = System.nanoTime();
 
     EdgeNode(Config config) {
         this.config = config;
@@ -88,6 +93,11 @@
     }
 
     private void housekeeping() {
+        long now = System.nanoTime();
+        if (now - lastHousekeeping > CLOCK_LOOK + LOOP_HELD) {
+            log.count(NodeLog.Event.LOOP_HELD);
+        }
+        lastHousekeeping = now;
         lookAtClocks();
         log.tick();
     }
@@ -106,6 +116,10 @@
         return loop;
     }
 
+    InvariantGuard guard() {
+        return guard;
+    }
+
     NodeLog log() {
         return log;
     }
@@ -268,6 +282,8 @@
 
     private void overdue(OpenRequest late) {
         if (!late.answered) {
+            log.request(NodeLog.Event.OVERDUE, late.request.id(), late.attempts + " attempts, "
+                + (late.attemptOut ? "one out" : "none out"));
             fail(late);
             event(null, now -> gateway.clientGone(now, late.request.id()));
         }
@@ -276,6 +292,7 @@
     /** The client left before its answer. */
     void clientGone(OpenRequest gone) {
         if (gone.answerOnce() != null) {
+            log.count(NodeLog.Event.CLIENT_LEFT);
             settle(gone);
             event(gone, now -> gateway.clientGone(now, gone.request.id()));
         }
@@ -284,6 +301,7 @@
     /** An attempt ended; {@code body} is an app server's whole 200 answer, and stays the caller's. */
     void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, ByteBuf body) {
         of.attemptOut = false;
+        guard.attemptEnded(of, outcome, now() - took);
         int attempt = of.attempts - 1;
         if (outcome == Outcome.OK) {
             OpenRequest.Answers answers = of.answerOnce();
@@ -316,22 +334,33 @@
         if (of != null && !of.attemptOut && !of.awaited()) {
             fail(of);
         }
-        if (of == null || of.answered || of.attemptOut) {
+        if (of != null && of.answered) {
+            log.count(NodeLog.Event.ATTEMPT_WITHHELD);
+        }
+        if (of == null || of.answered || !guard.maySend(of, classOf(of), now())) {
             // It may not go out, but the module counts it as out until it hears how it ended.
             Result moot = new Result(id, Outcome.NOT_SENT, 0, server, of == null || of.answered, 0, 0, List.of());
             loop.execute(() -> event(null, now -> gateway.attemptEnded(now, moot)));
             return;
         }
+        if (of.attempts > 0) {
+            log.count(NodeLog.Event.RETRIED);
+        }
         of.attempts++;
         of.attemptOut = true;
         pool.send(of, server, patience);
     }
 
+    private RequestClass classOf(OpenRequest of) {
+        return config.settings().classes().get(of.request.requestClass());
+    }
+
     @Override
     public void refuse(String id, long retryAfter) {
         OpenRequest of = open.get(id);
         OpenRequest.Answers answers = of == null ? null : of.answerOnce();
         if (answers != null) {
+            log.count(NodeLog.Event.REFUSED);
             answers.refused(retryAfter);
             settle(of);
         }
@@ -348,6 +377,7 @@
     private void fail(OpenRequest of) {
         OpenRequest.Answers answers = of.answerOnce();
         if (answers != null) {
+            log.request(NodeLog.Event.FAILED, of.request.id(), "after " + of.attempts + " attempts");
             answers.failed();
             settle(of);
         }
--- a/src/main/java/thistlefall/node/OpenRequest.java
+++ b/src/main/java/thistlefall/node/OpenRequest.java
@@ -30,6 +30,9 @@
     private final Answers answers;
     int attempts;
     boolean attemptOut;
+    /** Whether an attempt has ended in a way that does not prove that it never ran, and when the first of these began. */
+    boolean mayHaveRun;
+    long firstMayHaveRunAt;
     boolean answered;
     Future<?> overdue;
 
