--- a/emulator/src/main/java/merlinrouter/emulator/Client.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Client.java
@@ -9,7 +9,7 @@
 /** One client of a node: one request at a time, on a connection that it keeps. */
 final class Client implements AutoCloseable {
     /** How long after a request's time its answer is still waited for; the judge decides what was too late. */
-    private static final int EXTRA_WAIT_MILLIS = 1_500;
+    private static final int EXTRA_WAIT_MILLIS = 3_500;
 
     private final int port;
     private Socket socket;
@@ -34,9 +34,22 @@
         }
     }
 
+    /** Sends the first half of a request and waits for what the node does about it. */
+    void sendHalfAndStay(RequestRecord request) throws InterruptedException {
+        request.half = true;
+        byte[] bytes = text(request).getBytes(StandardCharsets.ISO_8859_1);
+        write(request, bytes, bytes.length / 2, 0);
+        receive(request);
+        close();
+    }
+
     /** Writes the request; with {@code pauseMillis} above 0 in two pieces. */
     void send(RequestRecord request, long pauseMillis) throws InterruptedException {
         byte[] bytes = text(request).getBytes(StandardCharsets.ISO_8859_1);
+        write(request, bytes, bytes.length, pauseMillis);
+    }
+
+    private void write(RequestRecord request, byte[] bytes, int length, long pauseMillis) throws InterruptedException {
         try {
             request.reusedConnection = socket != null;
             if (socket == null && !connect()) {
@@ -44,11 +57,11 @@
                 request.end(RequestRecord.End.NOT_CONNECTED);
                 return;
             }
-            int first = pauseMillis > 0 ? bytes.length / 2 : bytes.length;
+            int first = pauseMillis > 0 ? length / 2 : length;
             socket.getOutputStream().write(bytes, 0, first);
-            if (first < bytes.length) {
+            if (first < length) {
                 Thread.sleep(pauseMillis);
-                socket.getOutputStream().write(bytes, first, bytes.length - first);
+                socket.getOutputStream().write(bytes, first, length - first);
             }
             request.sentAt = System.nanoTime();
         } catch (IOException e) {
--- a/emulator/src/main/java/merlinrouter/emulator/Invariants.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Invariants.java
@@ -14,6 +14,8 @@
         ANSWERED_IN_TIME,
         /** A connection was closed over a request that had been taken. */
         NOT_CLOSED_UNANSWERED,
+        /** A client that stopped in the middle of its request got neither an error nor a close in 3 s. */
+        BAD_CLIENT_ENDED,
         /** A client got what no server had made for its request. */
         OWN_ANSWER_ONLY,
         /** An attempt began more than 0.1 s after its client had left or been answered. */
@@ -35,6 +37,7 @@
     }
 
     private static final long LATE_NANOS = millis(500);
+    private static final long BAD_CLIENT_NANOS = millis(3_000);
     private static final long AFTER_END_NANOS = millis(100);
     private static final long DEADLINE_SLACK_MILLIS = 150;
     /** A change counts as told so long after discovery had it and could be reached; then comes the grace. */
@@ -76,6 +79,13 @@
 
     private void judgeEnd(RequestRecord request, List<Violation> broken) {
         long took = request.endedAt - request.sentAt;
+        if (request.half) {
+            boolean served = request.status == 200 || !request.attempts().isEmpty();
+            if (served || request.end == RequestRecord.End.NO_ANSWER || took > BAD_CLIENT_NANOS + ownDelayNanos) {
+                broken.add(new Violation(Rule.BAD_CLIENT_ENDED, request.toString()));
+            }
+            return;
+        }
         switch (request.end) {
             case NO_ANSWER -> broken.add(new Violation(Rule.ANSWERED_IN_TIME, request.toString()));
             case ANSWERED -> {
--- a/emulator/src/main/java/merlinrouter/emulator/NodeTraffic.java
+++ b/emulator/src/main/java/merlinrouter/emulator/NodeTraffic.java
@@ -7,6 +7,8 @@
     private static final int CLIENTS = 3;
     private static final long LEAST_WAIT_MILLIS = 150;
     private static final long MOST_WAIT_MILLIS = 2_400;
+    /** A little less than the span after which a node ends a resting connection. */
+    private static final long REST_MILLIS = 1_900;
     private static final long MOST_PAUSE_MILLIS = 120;
 
     private final Fleet.Node node;
@@ -50,10 +52,17 @@
 
     private void ask(Client client, SplittableRandom random) throws InterruptedException {
         RequestClass[] classes = RequestClass.values();
-        RequestRecord request = ledger.open(node.name(), classes[random.nextInt(classes.length)],
-            random.nextLong(LEAST_WAIT_MILLIS, MOST_WAIT_MILLIS));
         int chance = random.nextInt(100);
-        if (chance < 6) {
+        boolean hurried = chance >= 80 && chance < 90;
+        RequestRecord request = ledger.open(node.name(), classes[random.nextInt(classes.length)],
+            hurried ? random.nextLong(1, LEAST_WAIT_MILLIS) : random.nextLong(LEAST_WAIT_MILLIS, MOST_WAIT_MILLIS));
+        if (chance < 1) {
+            client.sendHalfAndStay(request);
+        } else if (chance < 2) {
+            // Long enough for the node to end the connection: its close may cross the request.
+            Thread.sleep(random.nextLong(REST_MILLIS, REST_MILLIS + 400));
+            client.exchange(request);
+        } else if (chance < 6) {
             client.sendAndLeave(request, random.nextLong(150));
         } else if (chance < 12) {
             client.send(request, random.nextLong(200));
--- a/emulator/src/main/java/merlinrouter/emulator/RequestRecord.java
+++ b/emulator/src/main/java/merlinrouter/emulator/RequestRecord.java
@@ -52,6 +52,8 @@
     volatile int status;
     volatile String body = "";
     volatile boolean reusedConnection;
+    /** Only a part of it was sent. */
+    volatile boolean half;
 
     RequestRecord(String id, String node, RequestClass requestClass, long waitMillis) {
         this.id = id;
--- a/emulator/src/main/java/merlinrouter/emulator/SoakPlan.java
+++ b/emulator/src/main/java/merlinrouter/emulator/SoakPlan.java
@@ -17,7 +17,7 @@
     record Fault(Kind kind, int pick, long pauseMillis, long lengthMillis) {
     }
 
-    private static final long MOST_PAUSE_MILLIS = 700;
+    private static final long MOST_PAUSE_MILLIS = 250;
     private static final long LEAST_LENGTH_MILLIS = 300;
     private static final long MOST_LENGTH_MILLIS = 3_000;
 
