Add a failing test of the time that a request waits behind failed accepts

60 accepts in a row fail with EMFILE: a request that waits 2,400 ms is sent on after 636 ms and its server is told 2,369 ms.

--- a/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
@@ -95,6 +95,16 @@
         }
     }
 
+    @Test
+    void theTimeInWhichNoAcceptSucceedsIsTakenFromWhatAServerIsTold() throws Exception {
+        Fleet.Node node = startNode(always(Behavior.ANSWER, 0));
+        assertServed(exchange(client(node), RequestClass.LOOKUP));
+        node.shim().failNext(Call.ACCEPT, 60, Errno.EMFILE.number());
+        RequestRecord request = exchange(client(node), RequestClass.LOOKUP);
+        assertServed(request);
+        assertEquals(List.of(), new Invariants(0).judge(request));
+    }
+
     @Test
     void whoConnectedBeforeAShutdownsGraceEndsIsAnsweredThoughAnAcceptFailed() throws Exception {
         Fleet.Node node = startNode(always(Behavior.ANSWER, 0));
