Count a request's time from when its connection may have begun to wait for its accept

Cause: ClientServer.Session took the loop's last look for the earliest moment at which a new connection's request may have come, also where accepting had paused since, at the bound on descriptors or behind failed accepts: sent on after 636 ms of 2,400 ms, a request told its server 2,369 ms.

Change: AcceptThrottle (AcceptRetry until now) owns pausing and resuming, and tells since when a connection may have waited: the pause's begin until a look has taken in all who waited, or has found none.

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -72,7 +72,7 @@
     private final ByteBudget budget;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final int most, mostKept;
-    private final AcceptRetry acceptRetry;
+    private final AcceptThrottle acceptThrottle;
     private Channel listening;
     private boolean draining;
     private CompletableFuture<Void> drained;
@@ -82,7 +82,7 @@
         this.budget = budget;
         this.loop = loop;
         this.config = config;
-        acceptRetry = new AcceptRetry(node.log());
+        acceptThrottle = new AcceptThrottle(node.log(), node::lookedBefore);
         // Half of the descriptors; app servers have three eighths, the rest is the process's own.
         most = Math.max(8, config.sockets() / 2);
         mostKept = Math.max(4, config.sockets() / 6);
@@ -104,7 +104,7 @@
     private void bind(CompletableFuture<Void> bound) {
         Transport.listening(loop, config.listen()).option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, READ))
-            .handler(acceptRetry)
+            .handler(acceptThrottle)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
@@ -139,7 +139,7 @@
 
     /** Nobody comes any more: the listening socket and the connections between requests go. */
     void stopAccepting(CompletableFuture<Void> done) {
-        if (acceptRetry.isFailing()) {
+        if (acceptThrottle.isFailing()) {
             // Who has connected and could not be accepted yet would be reset with the listening socket.
             loop.schedule(() -> loop.schedule(() -> stopAccepting(done), 0, TimeUnit.NANOSECONDS), LAST_LOOK,
                 TimeUnit.NANOSECONDS);
@@ -374,7 +374,7 @@
         private long since = System.nanoTime();
         private int held;
         /** When its client was last seen to be there: all that it had sent was read, and no close came behind. */
-        private long seenAt = node.lookedBefore();
+        private long seenAt = acceptThrottle.waitingSince();
 
         Session(Channel channel) {
             this.channel = channel;
@@ -390,7 +390,7 @@
             if (sessions.size() >= most && !makeRoom(this)) {
                 // At the bound on descriptors newcomers wait in the kernel's line until a connection ends.
                 // Asked of the channel itself: the first clients are here before the bind is told.
-                channel.parent().config().setAutoRead(false);
+                acceptThrottle.pause(channel.parent(), System.nanoTime());
             }
         }
 
@@ -598,7 +598,7 @@
             body.take().release();
             account();
             if (drained == null) {
-                channel.parent().config().setAutoRead(true);
+                acceptThrottle.resume(channel.parent());
             }
             OpenRequest left = current;
             current = null;
