Add failing tests of a start and a reload whose calls fail for a moment

Found while the class of the incident was looked for on other paths. EMFILE for two opens of the configuration: a start ends with status 1 and a hang-up is dropped for good; two failed binds end a start too.

--- a/emulator/src/main/c/faultshim.c
+++ b/emulator/src/main/c/faultshim.c
@@ -13,8 +13,10 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
@@ -24,7 +26,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum fault { ACCEPT, SOCKET, CONNECT, EPOLL_WAIT, SHORT_READ, SHORT_WRITE, READ, WRITE, FAULT_COUNT };
+enum fault { ACCEPT, SOCKET, CONNECT, EPOLL_WAIT, SHORT_READ, SHORT_WRITE, READ, WRITE, BIND, OPEN, FAULT_COUNT };
 
 struct slot {
   int64_t next;
@@ -113,6 +115,36 @@
   return is_tcp(fd) && fails(CONNECT) ? -1 : REAL(connect)(fd, address, length);
 }
 
+int bind(int fd, const struct sockaddr *address, socklen_t length) {
+  return is_tcp(fd) && fails(BIND) ? -1 : REAL(bind)(fd, address, length);
+}
+
+/* Only a configuration's opening fails: the platform's own files are not what is under test. */
+static int is_configuration(const char *path) {
+  size_t length = strlen(path);
+  return length > 5 && strcmp(path + length - 5, ".json") == 0;
+}
+
+static mode_t mode_of(int flags, va_list rest) {
+  return flags & (O_CREAT | O_TMPFILE) ? (mode_t) va_arg(rest, int) : 0;
+}
+
+int open(const char *path, int flags, ...) {
+  va_list rest;
+  va_start(rest, flags);
+  mode_t mode = mode_of(flags, rest);
+  va_end(rest);
+  return is_configuration(path) && fails(OPEN) ? -1 : REAL(open)(path, flags, mode);
+}
+
+int open64(const char *path, int flags, ...) {
+  va_list rest;
+  va_start(rest, flags);
+  mode_t mode = mode_of(flags, rest);
+  va_end(rest);
+  return is_configuration(path) && fails(OPEN) ? -1 : REAL(open64)(path, flags, mode);
+}
+
 int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
   return fails(EPOLL_WAIT) ? -1 : REAL(epoll_wait)(fd, events, most, timeout);
 }
--- a/emulator/src/main/java/merlinrouter/emulator/FaultShim.java
+++ b/emulator/src/main/java/merlinrouter/emulator/FaultShim.java
@@ -20,7 +20,7 @@
     private static final int HITS = 3;
 
     /** The calls that can be made to fail, in the order of the library's slots. */
-    enum Call { ACCEPT, SOCKET, CONNECT, EPOLL_WAIT, SHORT_READ, SHORT_WRITE, READ, WRITE }
+    enum Call { ACCEPT, SOCKET, CONNECT, EPOLL_WAIT, SHORT_READ, SHORT_WRITE, READ, WRITE, BIND, OPEN }
 
     private final Path library;
     private final Path controlFile;
--- a/emulator/src/main/java/merlinrouter/emulator/Fleet.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Fleet.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Edge node processes between one discovery, one counter and some match servers, each node with a fault shim. */
 final class Fleet implements AutoCloseable {
@@ -49,9 +50,15 @@
 
     /** Starts so many nodes and waits until all are ready. */
     void startNodes(int count) throws IOException, InterruptedException {
+        startNodes(count, shim -> { });
+    }
+
+    /** Starts so many nodes, each with the faults that {@code faults} sets first, and waits until all are ready. */
+    void startNodes(int count, Consumer<FaultShim> faults) throws IOException, InterruptedException {
         Path source = root.resolve("emulator/src/main/c/faultshim.c");
         for (int i = 0; i < count; i++) {
             FaultShim shim = new FaultShim(source, folder);
+            faults.accept(shim);
             String name = "n" + i;
             NodeProcess process = new NodeProcess(root, folder, name, freePort(), shim.environment());
             nodes.add(new Node(name, process, shim));
--- a/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
@@ -183,6 +183,38 @@
         assertTrue(done.getAsBoolean(), otherwise);
     }
 
+    @Test
+    void aStartWhoseFirstBindsAndReadsFailStillServes() throws Exception {
+        for (Errno error : List.of(Errno.EADDRINUSE, Errno.ENOBUFS)) {
+            try (Fleet own = new Fleet(ROOT, folder.resolve(error.name()))) {
+                own.addServer(always(Behavior.ANSWER, 0), 0);
+                own.startNodes(1, shim -> {
+                    shim.failNext(Call.BIND, 2, error.number());
+                    shim.failNext(Call.OPEN, 2, Errno.EMFILE.number());
+                });
+                assertEquals(2, own.nodes().get(0).shim().hits(Call.BIND));
+                assertEquals(2, own.nodes().get(0).shim().hits(Call.OPEN));
+            }
+        }
+    }
+
+    @Test
+    void aHangUpIsObeyedThoughItsFileCouldNotBeReadAtOnce() throws Exception {
+        Fleet.Node node = startNode(always(Behavior.ANSWER, 0));
+        for (Errno error : List.of(Errno.EMFILE, Errno.EIO)) {
+            try (DiscoveryService moved = new DiscoveryService()) {
+                node.process().configure(NodeConfiguration.of(0, 2, node.process().port(), moved, fleet.counter(),
+                    fleet.discovery().snapshot()));
+                node.shim().failNext(Call.OPEN, 2, error.number());
+                node.process().signal("HUP");
+                for (int i = 0; i < MOST_TURNS && moved.connections() == 0; i++) {
+                    Thread.sleep(TURN_MILLIS);
+                }
+                assertEquals(1, moved.connections(), error + ": " + node.process().logText());
+            }
+        }
+    }
+
     @Test
     void interruptedWaitsAndShortReadsAndWritesLoseNothing() throws Exception {
         Fleet.Node node = startNode(always(Behavior.ANSWER, 0), always(Behavior.ANSWER, 0));
