Try binds and reads of the configuration again where they fail for a moment

Cause: Main read the configuration once, for a start and for a hang-up, and ClientServer.bind tried once. With the shim two opens that fail with EMFILE ended a start with status 1 and dropped a hang-up for good; two failed binds ended a start too.

Change: ConfigFile reads again for 1 s where the file can't be read, and behind a hang-up also where it can't be used, since it may be being replaced; a bind is tried again for 3 s. A bad configuration still ends a start at once. The rehearsal's node writes no lines, which looked like clients' requests.

--- a/emulator/src/main/java/merlinrouter/emulator/LoopbackServer.java
+++ b/emulator/src/main/java/merlinrouter/emulator/LoopbackServer.java
@@ -54,6 +54,15 @@
         open.forEach(LoopbackServer::reset);
     }
 
+    /** Resets all open connections and waits until the last reset has been sent. */
+    final void resetAllAndWait() throws InterruptedException {
+        resetAll();
+        while (!open.isEmpty()) {
+            // A thread that still reads holds its socket open until it has been woken.
+            Thread.sleep(1);
+        }
+    }
+
     /** Ends a connection with a reset instead of an orderly end. */
     static void reset(Socket socket) {
         try {
--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -66,14 +67,18 @@
     /** Behind a failed accept a drain looks again after so long, which is longer than that pauses. */
     private static final long LAST_LOOK = 20 * MS;
 
+    /** A bind that fails is tried again after so long, and for so long: a restart is owed in 10 s. */
+    private static final long BIND_PAUSE = 50 * MS, BIND_PATIENCE = 3_000 * MS;
+
     private final EdgeNode node;
     private final EventLoop loop;
     private final Config config;
     private final ByteBudget budget;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final int most, mostKept;
-    private final AcceptThrottle acceptThrottle;
+    private AcceptThrottle acceptThrottle;
     private Channel listening;
+    private long bindBegun;
     private boolean draining;
     private CompletableFuture<Void> drained;
 
@@ -82,7 +87,6 @@
         this.budget = budget;
         this.loop = loop;
         this.config = config;
-        acceptThrottle = new AcceptThrottle(node.log(), node::lookedBefore);
         // Half of the descriptors; app servers have three eighths, the rest is the process's own.
         most = Math.max(8, config.sockets() / 2);
         mostKept = Math.max(4, config.sockets() / 6);
@@ -94,6 +98,7 @@
     CompletableFuture<Void> bind() {
         CompletableFuture<Void> bound = new CompletableFuture<>();
         loop.execute(() -> {
+            bindBegun = System.nanoTime();
             if (!draining) {
                 bind(bound);
             }
@@ -102,6 +107,7 @@
     }
 
     private void bind(CompletableFuture<Void> bound) {
+        acceptThrottle = new AcceptThrottle(node.log(), node::lookedBefore);
         Transport.listening(loop, config.listen()).option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, READ))
             .handler(acceptThrottle)
@@ -112,14 +118,24 @@
                     channel.pipeline().addLast(session.decoder, new HttpResponseEncoder(), session);
                 }
             })
-            .bind(config.listen()).addListener((ChannelFutureListener) done -> {
-                if (done.isSuccess()) {
-                    listening = done.channel();
-                    bound.complete(null);
-                } else {
-                    bound.completeExceptionally(done.cause());
+            // Where the process could make no socket the future is told on a thread of the library's.
+            .bind(config.listen()).addListener((ChannelFutureListener) done -> loop.execute(() -> bindEnded(done, bound)));
+    }
+
+    private void bindEnded(ChannelFuture done, CompletableFuture<Void> bound) {
+        if (done.isSuccess()) {
+            listening = done.channel();
+            bound.complete(null);
+        } else if (System.nanoTime() - bindBegun > BIND_PATIENCE) {
+            bound.completeExceptionally(done.cause());
+        } else {
+            // The process before this one may hold the address for a moment, or the system be short of something.
+            loop.schedule(() -> {
+                if (!draining) {
+                    bind(bound);
                 }
-            });
+            }, BIND_PAUSE, TimeUnit.NANOSECONDS);
+        }
     }
 
     SocketAddress address() {
@@ -139,7 +155,7 @@
 
     /** Nobody comes any more: the listening socket and the connections between requests go. */
     void stopAccepting(CompletableFuture<Void> done) {
-        if (acceptThrottle.isFailing()) {
+        if (listening != null && acceptThrottle.isFailing()) {
             // Who has connected and could not be accepted yet would be reset with the listening socket.
             loop.schedule(() -> loop.schedule(() -> stopAccepting(done), 0, TimeUnit.NANOSECONDS), LAST_LOOK,
                 TimeUnit.NANOSECONDS);
--- a/src/main/java/thistlefall/node/Config.java
+++ b/src/main/java/thistlefall/node/Config.java
@@ -46,6 +46,15 @@
         }
     }
 
+    /** A configuration that could not be read; the next try may succeed. */
+    static final class Unreadable extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Unreadable(String message) {
+            super(message);
+        }
+    }
+
     /** Names of classes, plans, zones and machine kinds, each at its index. */
     record Names(List<String> classes, List<String> plans, List<String> zones, List<String> kinds) {
     }
@@ -58,12 +67,12 @@
     record Roll(long revision, boolean complete, List<Member> members) {
     }
 
-    static Config read(Path file) throws Invalid {
+    static Config read(Path file) throws Invalid, Unreadable {
         String text;
         try {
             text = Files.readString(file);
         } catch (IOException e) {
-            throw new Invalid("the configuration " + file + " cannot be read: " + e.getMessage());
+            throw new Unreadable("the configuration " + file + " cannot be read: " + e.getMessage());
         }
         return parse(text);
     }
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -53,8 +53,8 @@
     private final EventLoop loop = group.next();
     /** The module's clock is monotonic; it starts at the wall's time, which nothing relies on. */
     private final long clockOffset = System.currentTimeMillis() * MS - System.nanoTime();
-    private final NodeLog log = new NodeLog();
-    private final InvariantGuard guard = new InvariantGuard(log);
+    private final NodeLog log;
+    private final InvariantGuard guard;
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final ServerStartTimes startTimes;
     private final ByteBudget budget;
@@ -69,7 +69,13 @@
     private long lastHousekeeping = System.nanoTime();
 
     EdgeNode(Config config) {
+        this(config, new NodeLog());
+    }
+
+    EdgeNode(Config config, NodeLog log) {
         this.config = config;
+        this.log = log;
+        guard = new InvariantGuard(log);
         budget = new ByteBudget(config.memory());
         startTimes = new ServerStartTimes(config.settings().rules().coldSpan(), log);
         pool = new ServerPool(this, loop, config);
@@ -405,6 +411,6 @@
 
     @Override
     public void log(String text) {
-        System.out.println(text);
+        log.line(text);
     }
 }
--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -39,17 +39,17 @@
             handler.setFormatter(new PlainLines());
         }
         try {
-            Path path = Path.of(file);
+            ConfigFile configuration = new ConfigFile(Path.of(file));
             AtomicReference<EdgeNode> serving = new AtomicReference<>();
             AtomicInteger hangups = new AtomicInteger();
             onHangup(() -> {
                 hangups.incrementAndGet();
-                reload(serving.get(), path);
+                reload(serving.get(), configuration);
             });
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serving.get()), "stop"));
             String folder = System.getenv().getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"));
             long begun = System.nanoTime();
-            int rehearsed = Rehearsal.hold(Config.read(path), REHEARSED, REHEARSAL_MS, Path.of(folder));
+            int rehearsed = Rehearsal.hold(configuration.read(), REHEARSED, REHEARSAL_MS, Path.of(folder));
             System.out.println("rehearsed with " + rehearsed + " requests in "
                 + (System.nanoTime() - begun) / 1_000_000 + " ms");
             // The file is read again: a signal may have come meanwhile, or come while it is read.
@@ -57,14 +57,14 @@
             // What the start leaves is moved out of the way now: the first collection under load would have to move it
             // all, page by page that was never touched, and hold the loop for that long.
             System.gc();
-            EdgeNode node = new EdgeNode(Config.read(path));
+            EdgeNode node = new EdgeNode(configuration.read());
             serving.set(node);
             if (hangups.get() != before) {
-                reload(node, path);
+                reload(node, configuration);
             }
             node.start();
             System.out.println("serving on " + node.address());
-        } catch (Config.Invalid e) {
+        } catch (Config.Invalid | Config.Unreadable e) {
             exit(1, e.getMessage());
         } catch (Exception e) {
             exit(1, "cannot start: " + e.getMessage());
@@ -80,7 +80,7 @@
     }
 
     /** A file that cannot be used costs one line; the settings that the node has stay as they are. */
-    private static void reload(EdgeNode node, Path file) {
+    private static void reload(EdgeNode node, ConfigFile configuration) {
         if (node == null) {
             System.out.println("the configuration will be read again for the start");
             return;
@@ -88,7 +88,7 @@
         try {
             // One at a time: signals may follow each other faster than the file is read.
             synchronized (node) {
-                node.reload(Config.read(file));
+                node.reload(configuration.readAgain());
             }
             System.out.println("configuration read again");
         } catch (Exception e) {
--- a/src/main/java/thistlefall/node/NodeLog.java
+++ b/src/main/java/thistlefall/node/NodeLog.java
@@ -43,12 +43,33 @@
     /** Lines with an id in one interval; the counts tell of the others. */
     private static final int MOST_LINES = 20;
 
+    private final boolean silent;
     private final Map<Event, Long> counts = new EnumMap<>(Event.class);
     private long violations;
     private int lines;
     private boolean changed;
     private long intervalBegan = System.nanoTime();
 
+    NodeLog() {
+        this(false);
+    }
+
+    private NodeLog(boolean silent) {
+        this.silent = silent;
+    }
+
+    /** A log that only counts, for a node that no client sees. */
+    static NodeLog silent() {
+        return new NodeLog(true);
+    }
+
+    /** Writes a line. */
+    void line(String text) {
+        if (!silent) {
+            System.out.println(text);
+        }
+    }
+
     /** Counts an event. */
     void count(Event event) {
         counts.merge(event, 1L, Long::sum);
@@ -63,7 +84,7 @@
     /** Counts an event of a request and, while lines are left in this interval, says why it happened. */
     void request(Event event, String id, String why) {
         count(event);
-        line("request " + id + " " + event + ": " + why);
+        boundedLine("request " + id + " " + event + ": " + why);
     }
 
     /** Counts a broken invariant; the action that would break it was not carried out. */
@@ -78,9 +99,9 @@
         return violations;
     }
 
-    private void line(String text) {
+    private void boundedLine(String text) {
         if (lines++ < MOST_LINES) {
-            System.out.println(text);
+            line(text);
         }
     }
 
@@ -94,7 +115,7 @@
         lines = 0;
         if (changed) {
             changed = false;
-            System.out.println("counts: " + counts + ", violations=" + violations);
+            line("counts: " + counts + ", violations=" + violations);
         }
     }
 }
--- a/src/main/java/thistlefall/node/Rehearsal.java
+++ b/src/main/java/thistlefall/node/Rehearsal.java
@@ -111,7 +111,7 @@
             // Both ends of each connection are this process's.
             config.sockets() / 2, config.memory(), config.cores(), new Config.Roll(1, true, members), config.connectTimeout(),
             config.keepAlive(), config.names(), unceiled(config.settings()));
-        try (EdgeNode node = new EdgeNode(mine)) {
+        try (EdgeNode node = new EdgeNode(mine, NodeLog.silent())) {
             node.start();
             for (int i = 0; i < CLIENTS; i++) {
                 AnswerDecoder decoder = new AnswerDecoder();
