Tell breaks that the emulator's own stalls may account for apart in the soak

StallMonitor now notes such stalls itself, and what falls into one is printed as unproven and not as a violation. It would not have told a stall of single threads.

--- a/emulator/src/main/java/merlinrouter/emulator/Soak.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Soak.java
@@ -17,8 +17,16 @@
 
 /** Overlapping random faults over real node processes, judged by the invariants. */
 final class Soak implements AutoCloseable {
-    /** What a soak found. */
-    record Result(Map<String, Integer> ends, List<Invariants.Violation> violations, List<String> nodeFaults) {
+    /**
+     * What a soak found.
+     *
+     * @param ends how many requests ended in each way
+     * @param violations rules that the nodes broke
+     * @param unproven breaks that the emulator's own stalls may account for; they are told and not counted
+     * @param nodeFaults processes that ended wrongly or found an invariant violated
+     */
+    record Result(Map<String, Integer> ends, List<Invariants.Violation> violations,
+                  List<Invariants.Violation> unproven, List<String> nodeFaults) {
         boolean passed() {
             return violations.isEmpty() && nodeFaults.isEmpty();
         }
@@ -33,9 +41,12 @@
     /** How long the front goes on sending new connections after a SIGTERM. */
     private static final long FRONT_DELAY_MILLIS = 300;
     private static final long USUAL_ANSWER_MILLIS = 15;
+    /** A stall of the emulator by more than this may be what a request's broken rule shows. */
+    private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
     private final Fleet fleet;
     private final Invariants invariants;
+    private final StallMonitor stalls = new StallMonitor();
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(4, work -> {
         Thread thread = new Thread(work, "soak timers");
         thread.setDaemon(true);
@@ -56,6 +67,7 @@
 
     /** Plays the plan for {@code length} on so many nodes and servers. */
     Result play(SoakPlan plan, int nodes, int servers, Duration length) throws IOException, InterruptedException {
+        stalls.start();
         for (int i = 0; i < servers; i++) {
             addServer(0);
         }
@@ -78,9 +90,11 @@
     private Result result() throws IOException {
         Map<String, Integer> ends = new LinkedHashMap<>();
         List<Invariants.Violation> violations = new ArrayList<>();
+        List<Invariants.Violation> unproven = new ArrayList<>();
         for (RequestRecord request : fleet.ledger().requests()) {
             ends.merge(request.end + (request.status > 0 ? " " + request.status : ""), 1, Integer::sum);
-            violations.addAll(invariants.judge(request));
+            boolean stalled = stalls.stalledBetween(request.sentAt, lastNoted(request)) > STALL_NANOS;
+            (stalled ? unproven : violations).addAll(invariants.judge(request));
         }
         for (Fleet.Node node : fleet.nodes()) {
             node.process().logText().lines().filter(line -> line.startsWith("invariant violated"))
@@ -89,7 +103,15 @@
         if (fleet.ledger().unknownAttempts() > 0) {
             nodeFaults.add(fleet.ledger().unknownAttempts() + " attempts with an id that no client sent");
         }
-        return new Result(ends, violations, List.copyOf(nodeFaults));
+        return new Result(ends, violations, unproven, List.copyOf(nodeFaults));
+    }
+
+    private static long lastNoted(RequestRecord request) {
+        long last = request.endedAt;
+        for (RequestRecord.Attempt attempt : request.attempts()) {
+            last = Math.max(last, attempt.arrivedAt);
+        }
+        return last;
     }
 
     private MatchServer addServer(long startedAtMillis) throws IOException {
--- a/emulator/src/main/java/merlinrouter/emulator/SoakCommand.java
+++ b/emulator/src/main/java/merlinrouter/emulator/SoakCommand.java
@@ -49,9 +49,11 @@
 
     private static void report(long seed, Path folder, Soak.Result result) {
         System.out.println("seed " + seed + ": " + (result.passed() ? "passed" : "FAILED") + " " + result.ends() + ", "
-            + result.violations().size() + " violations, " + result.nodeFaults().size() + " node faults; logs in "
+            + result.violations().size() + " violations, " + result.unproven().size()
+            + " unproven while the emulator was stalled, " + result.nodeFaults().size() + " node faults; logs in "
             + folder);
         result.violations().stream().limit(MOST_LINES).forEach(violation -> System.out.println("  " + violation));
+        result.unproven().stream().limit(MOST_LINES).forEach(violation -> System.out.println("  unproven " + violation));
         result.nodeFaults().stream().limit(MOST_LINES).forEach(fault -> System.out.println("  " + fault));
     }
 
