Put a fault proxy between nodes and match servers

The network in front of a server may fall silent (what met the silence is reset at its end), pass bytes in pieces or pass them late.

--- a/emulator/src/main/java/merlinrouter/emulator/Fleet.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Fleet.java
@@ -8,7 +8,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /** Edge node processes between one discovery, one counter and some match servers, each node with a fault shim. */
@@ -25,6 +27,7 @@
     private final CounterService counter = new CounterService();
     private final Ledger ledger = new Ledger();
     private final List<MatchServer> servers = new ArrayList<>();
+    private final Map<String, FaultProxy> proxies = new HashMap<>();
     private final List<Node> nodes = new ArrayList<>();
 
     /** {@code root} is the repository with the built program; {@code folder} takes configurations and logs. */
@@ -37,6 +40,7 @@
     MatchServer addServer(MatchServer.Script script, long startedAtMillis) throws IOException {
         MatchServer server = new MatchServer("s-" + servers.size(), script, ledger);
         servers.add(server);
+        proxies.put(server.id(), new FaultProxy(server.port()));
         discovery.publish(member(server, DiscoveryService.Phase.READY, startedAtMillis));
         return server;
     }
@@ -44,10 +48,15 @@
     /** The list's entry of a server. */
     DiscoveryService.Member member(MatchServer server, DiscoveryService.Phase phase, long startedAtMillis) {
         int number = servers.indexOf(server);
-        return new DiscoveryService.Member(server.id(), server.address(), number % 2 == 0 ? "a" : "b", 1 + number % 4,
+        return new DiscoveryService.Member(server.id(), proxy(server).address(), number % 2 == 0 ? "a" : "b", 1 + number % 4,
             phase, startedAtMillis);
     }
 
+    /** The network in front of a server; nodes reach it at the proxy's address. */
+    FaultProxy proxy(MatchServer server) {
+        return proxies.get(server.id());
+    }
+
     /** Starts so many nodes and waits until all are ready. */
     void startNodes(int count) throws IOException, InterruptedException {
         startNodes(count, shim -> { });
@@ -114,6 +123,7 @@
     public void close() throws IOException {
         nodes.forEach(node -> node.process().close());
         for (MatchServer server : servers) {
+            proxy(server).close();
             server.close();
         }
         discovery.close();
--- a/emulator/src/main/java/merlinrouter/emulator/Soak.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Soak.java
@@ -153,6 +153,9 @@
             case SERVER_GIVES_NO_LENGTH -> behaveFor(server, fault.pick() % 2 == 0 ? Behavior.ANSWER_WITHOUT_LENGTH
                 : Behavior.RESET_WITHOUT_LENGTH, fault);
             case SERVER_DROPS_CONNECTIONS -> server.resetAll();
+            case LINK_SILENT -> linkFor(server, FaultProxy.Link.SILENT, fault);
+            case LINK_IN_PIECES -> linkFor(server, FaultProxy.Link.IN_PIECES, fault);
+            case LINK_SLOW -> linkFor(server, FaultProxy.Link.SLOW, fault);
             case SERVER_REPLACED -> replace(server);
             case DISCOVERY_SILENT -> silenceDiscovery(fault.lengthMillis());
             case WATCHES_RESET -> fleet.discovery().resetAll();
@@ -179,6 +182,11 @@
         later(fault.lengthMillis(), () -> behaviors.remove(server.id(), behavior));
     }
 
+    private void linkFor(MatchServer server, FaultProxy.Link link, SoakPlan.Fault fault) {
+        fleet.proxy(server).setLink(link);
+        later(fault.lengthMillis(), () -> fleet.proxy(server).setLink(FaultProxy.Link.CLEAR));
+    }
+
     private void replace(MatchServer old) throws IOException {
         if (listed.size() > 1) {
             listed.remove(old);
--- a/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/SystemCallFaultTest.java
@@ -140,7 +140,7 @@
             Fleet.Node node = fleet.nodes().isEmpty() ? startNode(always(Behavior.ANSWER, 0)) : fleet.nodes().get(0);
             // The counter's connections are up, so that the next one is to the server.
             assertServed(exchange(client(node), RequestClass.LOOKUP));
-            fleet.servers().get(0).resetAllAndWait();
+            fleet.proxy(fleet.servers().get(0)).resetAllAndWait();
             node.shim().failNext(Call.SOCKET, 1, error.number());
             assertServed(exchange(client(node), RequestClass.TRANSFER));
         }
@@ -152,7 +152,7 @@
             Fleet.Node node = fleet.nodes().isEmpty() ? startNode(always(Behavior.ANSWER, 0)) : fleet.nodes().get(0);
             // The counter's connections are up, so that the next one is to the server.
             assertServed(exchange(client(node), RequestClass.LOOKUP));
-            fleet.servers().get(0).resetAllAndWait();
+            fleet.proxy(fleet.servers().get(0)).resetAllAndWait();
             node.shim().failNext(Call.CONNECT, 1, error.number());
             assertServed(exchange(client(node), RequestClass.TRANSFER));
             String log = node.process().logText();
