--- a/src/test/java/thistlefall/node/CrossingTest.java
+++ b/src/test/java/thistlefall/node/CrossingTest.java
@@ -7,6 +7,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.io.PrintStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -31,6 +34,8 @@
  */
 @Timeout(120)
 class CrossingTest extends Stage {
+    private static final long HOLD = TimeUnit.SECONDS.toNanos(2);
+
     /** An app server that nobody can connect to until it lets its line go. */
     private final class FullLine implements AutoCloseable {
         private final ServerSocket listening = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
@@ -542,4 +547,48 @@
         }
         drained.get(60, TimeUnit.SECONDS);
     }
+
+    /** A line that the operators' side takes late holds the loop between the clock's reading and the second attempt. */
+    @Test
+    void whatALoopIsHeldForWithinAnEventIsTakenFromWhatTheNextAttemptIsTold() throws Exception {
+        AtomicBoolean first = new AtomicBoolean(true);
+        Peer.Script script = m -> m.answer(first.getAndSet(false)
+            ? "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n" : Peer.ok("", "x"));
+        Peer[] servers = {peer(script), peer(script)};
+        EdgeNode node = node(servers);
+        Socket client = client(node);
+        PrintStream usual = System.out;
+        AtomicLong begun = new AtomicLong();
+        AtomicLong heldUntil = new AtomicLong();
+        System.setOut(new PrintStream(usual) {
+            @Override
+            public void println(String line) {
+                if (line.startsWith("server shunned")) {
+                    while (System.nanoTime() - begun.get() < HOLD) {
+                        Thread.onSpinWait();
+                    }
+                    heldUntil.set(System.nanoTime());
+                }
+                super.println(line);
+            }
+        });
+        try {
+            for (int i = 0; heldUntil.get() == 0; i++) {
+                first.set(true);
+                begun.set(System.nanoTime());
+                write(client, "GET /api", headers("t-" + i, "lookup", "20000"), "");
+                assertEquals("200", status(Peer.read(client)));
+            }
+        } finally {
+            System.setOut(usual);
+        }
+        long most = 20_000 - TimeUnit.NANOSECONDS.toMillis(HOLD) + 150;
+        long least = Long.MAX_VALUE;
+        for (Peer server : servers) {
+            for (Peer.Message sent = server.seen.poll(); sent != null; sent = server.seen.poll()) {
+                least = Math.min(least, Long.parseLong(sent.headers().get("x-expires-in-ms")));
+            }
+        }
+        assertTrue(least <= most, "told " + least + " ms behind a hold, " + most + " at most");
+    }
 }
