Take a hold within an event from the next attempt's patience and told deadline

Cause: EdgeNode.event reads the clock once for the module, and the module's patience counts from there; EdgeNode.send gave it to the pool as a span from now.

Change: EdgeNode.send takes off what has passed since its event began.

--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -66,6 +66,8 @@
     private Gateway gateway;
     private Config early;
     private boolean inside;
+    /** When the event began that the module is handling. */
+    private long eventAt;
     private long lastHousekeeping = System.nanoTime();
 
     EdgeNode(Config config) {
@@ -215,8 +217,9 @@
             return;
         }
         inside = true;
+        eventAt = now();
         try {
-            call.accept(now());
+            call.accept(eventAt);
         } catch (RuntimeException e) {
             // One request's trouble must not end the process, nor leave that request without an answer.
             trouble("the module failed", e);
@@ -354,7 +357,8 @@
         }
         of.attempts++;
         of.attemptOut = true;
-        pool.send(of, server, patience);
+        // The module counts from its event's clock; the loop may have been held since.
+        pool.send(of, server, Math.max(MS, patience - (now() - eventAt)));
     }
 
     private RequestClass classOf(OpenRequest of) {
