Forget the starts of servers that a change says are gone

Cause: ServerStartTimes.forget had no caller, so that where lists come as changes the starts of all servers ever told stayed, and ids are ever new.

Change: EdgeNode forgets the start of what is told as gone.

--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -20,6 +20,7 @@
 import thistlefall.Ports;
 import thistlefall.Ports.ListKind;
 import thistlefall.Ports.Outcome;
+import thistlefall.Ports.Readiness;
 import thistlefall.Ports.RequestClass;
 import thistlefall.Ports.Result;
 import thistlefall.Ports.Server;
@@ -254,6 +255,9 @@
             named.add(server.id());
             long started = startTimes.momentOf(server.id(), server.startedAt(), now);
             members.add(new Config.Member(server.startingAt(started), member.address()));
+            if (server.readiness() == Readiness.GONE) {
+                startTimes.forget(server.id());
+            }
         }
         if (roll.complete()) {
             startTimes.retain(named);
