--- a/emulator/src/main/java/merlinrouter/emulator/FaultShim.java
+++ b/emulator/src/main/java/merlinrouter/emulator/FaultShim.java
@@ -7,6 +7,7 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.Map;
@@ -47,7 +48,7 @@
         if (gcc.waitFor() != 0) {
             throw new IOException("gcc could not compile " + source);
         }
-        Files.move(fresh, library, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+        Files.move(fresh, library, StandardCopyOption.ATOMIC_MOVE);
     }
 
     /** The environment that has a process load the library. */
--- a/emulator/src/main/java/merlinrouter/emulator/LoopbackServer.java
+++ b/emulator/src/main/java/merlinrouter/emulator/LoopbackServer.java
@@ -14,7 +14,6 @@
 
     private final ServerSocket listening = new ServerSocket();
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-    private volatile boolean accepting = true;
 
     /** Binds to a free port and begins to accept. */
     LoopbackServer() throws IOException {
@@ -44,11 +43,6 @@
         return open.size();
     }
 
-    /** Whether connections are taken; others are reset as they arrive. */
-    final void setAccepting(boolean accepting) {
-        this.accepting = accepting;
-    }
-
     /** Resets all open connections. */
     final void resetAll() {
         open.forEach(LoopbackServer::reset);
@@ -76,10 +70,6 @@
     private void acceptAll() throws IOException {
         while (!listening.isClosed()) {
             Socket socket = listening.accept();
-            if (!accepting) {
-                reset(socket);
-                continue;
-            }
             socket.setTcpNoDelay(true);
             open.add(socket);
             Threads.daemon(getClass().getSimpleName() + " connection", () -> {
--- a/emulator/src/main/java/merlinrouter/emulator/NodeProcess.java
+++ b/emulator/src/main/java/merlinrouter/emulator/NodeProcess.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -34,7 +35,7 @@
     void configure(String json) throws IOException {
         Path fresh = Files.createTempFile(configFile.getParent(), "config", ".json");
         Files.writeString(fresh, json);
-        Files.move(fresh, configFile, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+        Files.move(fresh, configFile, StandardCopyOption.ATOMIC_MOVE);
     }
 
     /** Starts the process; it is not ready when this returns. */
@@ -90,10 +91,6 @@
         return process.waitFor(patience.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    boolean isAlive() {
-        return process != null && process.isAlive();
-    }
-
     int exitValue() {
         return process.exitValue();
     }
