Close all channels of an event loop that is shut down while it runs tasks

Callers saw: a node with 256 descriptors and idle clients answered nobody. A client that had connected and sent its request got no response in 60 s (DeploymentTest.idleClientsLeaveDescriptorsForDiscoveryCounterAndEndpoints).

Cause: Netty's event loop looks for a shutdown before it runs its tasks and closes its channels then; it looks again behind the tasks and, without a quiet period, ends. A shutdown requested in between ends the loop with its channels open. The warm-up ends by such shutdowns of two busy loops, so that up to all of its Unix sockets stayed open in the node that serves. With both loops' sockets the table was full, each accept failed with EMFILE for good, and a request that is never read has no deadline and no backstop: that is why none fired.

The loop now closes its channels behind the tasks as well, in the same state in which Netty closes them.

--- a/src/main/java/merlinrouter/node/EdgeNode.java
+++ b/src/main/java/merlinrouter/node/EdgeNode.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.SocketAddress;
 import java.nio.channels.spi.SelectorProvider;
@@ -34,8 +33,8 @@
 
   private final PollTimestamps pollTimestamps = new PollTimestamps();
   private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(
-          1, NioIoHandler.newFactory(SelectorProvider.provider(), () -> pollTimestamps));
+      EventLoops.newSingleLoopGroup(
+          NioIoHandler.newFactory(SelectorProvider.provider(), () -> pollTimestamps));
   private final EventLoop loop = group.next();
   private final NodeClock clock = new NodeClock();
   private final NodeConfig config;
--- /dev/null
+++ b/src/main/java/merlinrouter/node/transport/ChannelClosingEventLoop.java
@@ -0,0 +1,28 @@
+package merlinrouter.node.transport;
+
+import io.netty.channel.IoEventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.SingleThreadIoEventLoop;
+import java.util.concurrent.Executor;
+
+/**
+ * An event loop that has closed all its channels when it terminates.
+ *
+ * <p>Netty's own looks for a requested shutdown before it runs its tasks, and closes its channels
+ * then; it looks again behind the tasks, and ends. A shutdown without a quiet period that is
+ * requested in between ends the loop with its channels open, and their file descriptors stay open
+ * as long as the process runs.
+ */
+final class ChannelClosingEventLoop extends SingleThreadIoEventLoop {
+  ChannelClosingEventLoop(IoEventLoopGroup parent, Executor executor, IoHandlerFactory handlers) {
+    super(parent, executor, handlers);
+  }
+
+  @Override
+  protected boolean confirmShutdown() {
+    if (isShuttingDown()) {
+      ioHandler().prepareToDestroy();
+    }
+    return super.confirmShutdown();
+  }
+}
--- a/src/main/java/merlinrouter/node/transport/EventLoops.java
+++ b/src/main/java/merlinrouter/node/transport/EventLoops.java
@@ -1,12 +1,30 @@
 package merlinrouter.node.transport;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoEventLoop;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
-/** Scheduling relative to the polls of an event loop. */
+/** Creation of event loops, and scheduling relative to their polls. */
 public final class EventLoops {
   private EventLoops() {}
 
+  /**
+   * Creates a group of one event loop. However the group is shut down, no channel of it stays open.
+   */
+  public static EventLoopGroup newSingleLoopGroup(IoHandlerFactory handlers) {
+    return new MultiThreadIoEventLoopGroup(1, handlers) {
+      @Override
+      protected IoEventLoop newChild(
+          Executor executor, IoHandlerFactory loopHandlers, Object... arguments) {
+        return new ChannelClosingEventLoop(this, executor, loopHandlers);
+      }
+    };
+  }
+
   /**
    * Runs a task after a delay and a whole poll of the sockets that follows it, however long the
    * event loop was stalled. A task that is scheduled from within a task without a delay runs after
--- a/src/main/java/merlinrouter/node/warmup/WarmUp.java
+++ b/src/main/java/merlinrouter/node/warmup/WarmUp.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -17,6 +16,7 @@
 import merlinrouter.node.config.NodeConfig;
 import merlinrouter.node.logging.ErrorLog;
 import merlinrouter.node.logging.NodeLog;
+import merlinrouter.node.transport.EventLoops;
 
 /**
  * Warms up the JVM before a node serves: a second node with the same settings and a gateway of its
@@ -32,8 +32,7 @@
   private static final int ENDPOINTS = 8;
   private static final int CLIENTS = 10;
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group = EventLoops.newSingleLoopGroup(NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final StubServer server = new StubServer(loop);
   private final StubClients clients;
--- a/src/test/java/merlinrouter/node/CounterClientTest.java
+++ b/src/test/java/merlinrouter/node/CounterClientTest.java
@@ -7,7 +7,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -17,6 +16,7 @@
 import merlinrouter.node.config.NodeConfig;
 import merlinrouter.node.config.NodeConfigReader;
 import merlinrouter.node.counter.CounterClient;
+import merlinrouter.node.transport.EventLoops;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -31,7 +31,7 @@
 
   @BeforeEach
   void client() throws Exception {
-    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    EventLoopGroup group = EventLoops.newSingleLoopGroup(NioIoHandler.newFactory());
     resources.add(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly());
     loop = group.next();
     NodeConfig config = configWithCounter(counter);
