Hold the bound on connections to endpoints while idle ones may not be reused yet

Seen in the warm-up of a node with 256 descriptors, of which it may use half for itself.

Cause: UpstreamPool.send let an attempt pass the bound if its endpoint had any idle connection, and then did not get one: for 10 ms after a response a connection is not reused. It opened another, each time.

The connection is now acquired first, and the bound is checked whenever another one would be opened; to make room the least recently used idle one is closed, be it to the same endpoint.

UpstreamConnectionLimitTest failed before ("31 connections" where 16 are allowed).

--- a/src/main/java/merlinrouter/node/upstream/UpstreamPool.java
+++ b/src/main/java/merlinrouter/node/upstream/UpstreamPool.java
@@ -77,14 +77,12 @@
   public void send(OpenRequest request, String endpointId, long timeoutNanos) {
     Attempt attempt = new Attempt(request, endpointId, timeoutNanos, listener);
     EndpointPool pool = pools.get(endpointId);
-    if (pool == null || connector.connections() >= maxConnections && !makeRoom(pool)) {
+    UpstreamConnection connection = pool == null ? null : acquire(pool);
+    if (pool == null || connection == null && !makeRoom()) {
       loop.execute(() -> attempt.end(Outcome.NOT_SENT));
       return;
     }
     attempt.scheduleTimeout(loop);
-    // The sweep alone is too coarse where endpoints keep idle connections for a short time only.
-    pool.closeIdleSince(System.nanoTime() - idleTimeoutNanos);
-    UpstreamConnection connection = pool.acquire();
     if (connection != null) {
       connection.write(attempt);
     } else {
@@ -92,9 +90,19 @@
     }
   }
 
-  /** At the bound on connections, closes an idle connection to another endpoint. */
-  private boolean makeRoom(EndpointPool wanted) {
-    if (wanted.idleCount() > 0) {
+  private UpstreamConnection acquire(EndpointPool pool) {
+    // The sweep alone is too coarse where endpoints keep idle connections for a short time only.
+    pool.closeIdleSince(System.nanoTime() - idleTimeoutNanos);
+    return pool.acquire();
+  }
+
+  /**
+   * At the bound on connections, closes an idle one to any endpoint.
+   *
+   * @return whether another connection may be opened
+   */
+  private boolean makeRoom() {
+    if (connector.connections() < maxConnections) {
       return true;
     }
     for (EndpointPool pool : pools.all()) {
