Restart a node in the emulator with the endpoint list as it last had it

With discovery silent that node could not know which endpoints had begun to drain since.

The emulator now hands over the list as discovery last could tell it: the present one, or the one from before the outage. The check is as it was.

--- a/emulator/src/main/java/merlinrouter/emulator/fleet/Fleet.java
+++ b/emulator/src/main/java/merlinrouter/emulator/fleet/Fleet.java
@@ -136,6 +136,12 @@
     return new Node(name, process, shim, config);
   }
 
+  /** Starts a node's process again, which has ended, with the endpoint list as it last had it. */
+  public void startAgain(Node node) throws IOException {
+    node.process().configure(node.config().withKnownEndpoints(discovery.lastToldList()));
+    node.process().start();
+  }
+
   /** Discovery. */
   public DiscoveryServer discovery() {
     return discovery;
--- a/emulator/src/main/java/merlinrouter/emulator/fleet/NodeConfig.java
+++ b/emulator/src/main/java/merlinrouter/emulator/fleet/NodeConfig.java
@@ -49,6 +49,12 @@
         gatewayNumber, gatewayCount, port, newDiscoveryAddress, counterAddress, knownEndpoints);
   }
 
+  /** The same configuration with another endpoint list to start with, as JSON. */
+  public NodeConfig withKnownEndpoints(String newKnownEndpoints) {
+    return new NodeConfig(
+        gatewayNumber, gatewayCount, port, discoveryAddress, counterAddress, newKnownEndpoints);
+  }
+
   /** The configuration file's text. */
   String toJson() throws IOException {
     try (InputStream template = NodeConfig.class.getResourceAsStream(TEMPLATE)) {
--- a/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
+++ b/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
@@ -20,6 +20,9 @@
   private long revision = 1;
   private boolean unresponsive;
 
+  /** The full list as of the last moment at which it could be told. */
+  private String lastToldList = "";
+
   /** Starts the server with an empty list. */
   public DiscoveryServer() throws IOException {
     start();
@@ -34,10 +37,21 @@
 
   /** While unresponsive it accepts connections and sends nothing, on open watches neither. */
   public synchronized void setUnresponsive(boolean unresponsive) {
+    if (unresponsive && !this.unresponsive) {
+      lastToldList = fullList();
+    }
     this.unresponsive = unresponsive;
     notifyAll();
   }
 
+  /**
+   * The full list as JSON that a node can have been told last: the present one, or while
+   * unresponsive the one from before.
+   */
+  public synchronized String lastToldList() {
+    return unresponsive ? lastToldList : fullList();
+  }
+
   /** The full list as JSON, without removed endpoints. */
   public synchronized String fullList() {
     List<EndpointEntry> listed =
--- a/emulator/src/main/java/merlinrouter/emulator/soak/NodeRestarter.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/NodeRestarter.java
@@ -21,6 +21,7 @@
   /** How long the load balancer still opens connections after a SIGTERM. */
   private static final long LOAD_BALANCER_DELAY_MILLIS = 300;
 
+  private final Fleet fleet;
   private final Map<String, NodeTraffic> trafficByNodeName;
   private final Timers timers;
   private final List<NodeFault> nodeFaults;
@@ -32,7 +33,11 @@
    * @param nodeFaults where faults are added, by any thread
    */
   NodeRestarter(
-      Map<String, NodeTraffic> trafficByNodeName, Timers timers, List<NodeFault> nodeFaults) {
+      Fleet fleet,
+      Map<String, NodeTraffic> trafficByNodeName,
+      Timers timers,
+      List<NodeFault> nodeFaults) {
+    this.fleet = fleet;
     this.trafficByNodeName = trafficByNodeName;
     this.timers = timers;
     this.nodeFaults = nodeFaults;
@@ -52,7 +57,7 @@
         "restart of " + node.name(),
         () -> {
           awaitShutdown(node.name(), node.process());
-          start(node.name(), node.process());
+          start(node);
           traffic.setNewConnectionsAllowed(true);
           restartingNodeNames.remove(node.name());
         });
@@ -70,12 +75,12 @@
     }
   }
 
-  private void start(String nodeName, NodeProcess process)
-      throws IOException, InterruptedException {
-    process.start();
-    if (!process.awaitReady(MAX_START)) {
+  private void start(Fleet.Node node) throws IOException, InterruptedException {
+    fleet.startAgain(node);
+    if (!node.process().awaitReady(MAX_START)) {
       nodeFaults.add(
-          new NodeFault(nodeName, "is not ready " + MAX_START.toSeconds() + " s after its start"));
+          new NodeFault(
+              node.name(), "is not ready " + MAX_START.toSeconds() + " s after its start"));
     }
   }
 }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
@@ -54,7 +54,7 @@
     for (Fleet.Node node : fleet.nodes()) {
       trafficByNodeName.put(node.name(), new NodeTraffic(node, fleet.requests(), random.split()));
     }
-    NodeRestarter restarter = new NodeRestarter(trafficByNodeName, timers, nodeFaults);
+    NodeRestarter restarter = new NodeRestarter(fleet, trafficByNodeName, timers, nodeFaults);
     FaultInjector injector = new FaultInjector(fleet, upstreams, restarter, checker, timers);
     long endNanos = System.nanoTime() + duration.toNanos();
     while (System.nanoTime() - endNanos < 0) {
