Answer requests that arrive in a shutdown before the process may be killed

Callers would see no response: a request of which a part had come before SIGTERM, and the rest behind the grace for new connections, was open for its whole timeout.

Cause: the drain waits for connections in the middle of a request, for up to 2.5 s, and the request's deadline did not know of the shutdown.

ShutdownRaceTest.requestCompletedDuringShutdownIsAnsweredBeforeTheProcessMayBeKilled failed before: its response came after 20 s, the timeout of its client.

--- a/src/main/java/merlinrouter/node/EdgeNode.java
+++ b/src/main/java/merlinrouter/node/EdgeNode.java
@@ -42,6 +42,7 @@
   private final InvariantGuard guard;
   private final MemoryBudget budget;
   private final DeadlineMargin deadlineMargin;
+  private final ShutdownDeadline shutdownDeadline;
   private final GatewayHost host;
   private final EndpointListUpdater endpointUpdater;
   private final EventLoopMonitor monitor;
@@ -63,6 +64,7 @@
     guard = new InvariantGuard(log);
     budget = new MemoryBudget(config.memoryLimitBytes());
     deadlineMargin = new DeadlineMargin(config.cores());
+    shutdownDeadline = new ShutdownDeadline(config.settings().requestClasses());
     host = new GatewayHost(loop, config, log, clock, budget, guard);
     EndpointStartTimes startTimes =
         new EndpointStartTimes(config.settings().rules().slowStartDurationNanos(), log);
@@ -117,13 +119,14 @@
   }
 
   /**
-   * Shuts down gracefully: responds to all requests that are accepted, and completes when no client
-   * connection is open any more.
+   * Shuts down gracefully: responds to all requests that are accepted, in time before the process
+   * may be killed, and completes when no client connection is open any more.
    */
   public CompletableFuture<Void> drain() {
     CompletableFuture<Void> done = new CompletableFuture<>();
     loop.execute(
         () -> {
+          shutdownDeadline.shutdownStarted(clock.nowNanos());
           long graceNanos = clients.startDraining() ? ACCEPT_GRACE_NANOS : 0;
           EventLoops.runAfterNextPoll(loop, graceNanos, () -> clients.stopAccepting(done));
         });
@@ -166,7 +169,7 @@
 
   @Override
   public long deadlineNanos(long arrivedAtNanos, long timeoutNanos) {
-    return deadlineMargin.deadlineNanos(arrivedAtNanos, timeoutNanos);
+    return shutdownDeadline.limit(deadlineMargin.deadlineNanos(arrivedAtNanos, timeoutNanos));
   }
 
   @Override
--- a/src/test/java/merlinrouter/node/ShutdownRaceTest.java
+++ b/src/test/java/merlinrouter/node/ShutdownRaceTest.java
@@ -6,6 +6,7 @@
 
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -19,6 +20,9 @@
 class ShutdownRaceTest extends EventLoopFixture {
   private static final long STALL_BEYOND_GRACE_MILLIS = 700;
 
+  /** Much longer than a process has after SIGTERM (3.7 s), and less than a request's timeout. */
+  private static final long MAX_RESPONSE_MILLIS = 15_000;
+
   private EdgeNode createNode(String configJson) throws Exception {
     EdgeNode node = new EdgeNode(NodeConfigReader.parse(configJson));
     resources.add(node);
@@ -107,4 +111,25 @@
     }
     drained.get(60, TimeUnit.SECONDS);
   }
+
+  /** Else a slowly sent request is open when the process is killed, and gets no response at all. */
+  @Test
+  void requestCompletedDuringShutdownIsAnsweredBeforeTheProcessMayBeKilled() throws Exception {
+    EdgeNode node = startNode(startOkServer("x", new CompletableFuture<>()));
+    Socket client = connect(node);
+    String head = requestHead("POST /api", requestHeaders("t-1", "order", "20000"));
+    byte[] request = (head + "Content-Length: 4\r\n\r\nbook").getBytes(StandardCharsets.UTF_8);
+    client.getOutputStream().write(request, 0, request.length / 2);
+    callOnEventLoop(node, () -> null);
+    CompletableFuture<Void> drained = callOnEventLoop(node, node::drain);
+    node.loop().schedule(() -> {}, STALL_BEYOND_GRACE_MILLIS, TimeUnit.MILLISECONDS).get();
+    long sentAtNanos = System.nanoTime();
+    client
+        .getOutputStream()
+        .write(request, request.length / 2, request.length - request.length / 2);
+    readStatus(client);
+    long answeredAfterMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAtNanos);
+    assertTrue(answeredAfterMillis < MAX_RESPONSE_MILLIS, answeredAfterMillis + " ms");
+    drained.get(60, TimeUnit.SECONDS);
+  }
 }
