Count the body of an open request once in the memory budget

Callers saw: requests with large bodies were refused (503, "no room for this body") at half of the room that the budget is meant to give, and for as long as an idle connection read nothing more also behind their end.

The connection's charge is now brought up to date when the body leaves it.

EdgeNodeTest.bodyOfAnOpenRequestIsCountedOnceAndNotAfterItsEnd failed before: expected 50000, was 100000.

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -235,6 +235,8 @@
     }
     HttpRequest requestHead = head;
     ByteBuf content = body.take();
+    // Whoever takes the body over counts its bytes from now on.
+    updateBudget();
     head = null;
     receiving = false;
     keepAlive = HttpUtil.isKeepAlive(requestHead);
--- a/src/test/java/merlinrouter/node/EdgeNodeTest.java
+++ b/src/test/java/merlinrouter/node/EdgeNodeTest.java
@@ -6,6 +6,7 @@
 
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -15,6 +16,8 @@
  */
 @Timeout(120)
 class EdgeNodeTest extends NodeFixture {
+  private static final int LARGE_BODY_BYTES = 50_000;
+
   @Test
   void forwardsRequestsAndResponsesOverOneConnection() throws Exception {
     ScriptedServer server =
@@ -105,6 +108,22 @@
     }
   }
 
+  /** Else requests with large bodies are refused at half of the room that there is for them. */
+  @Test
+  void bodyOfAnOpenRequestIsCountedOnceAndNotAfterItsEnd() throws Exception {
+    CompletableFuture<Void> proceed = new CompletableFuture<>();
+    ScriptedServer server = startOkServer("x", proceed);
+    EdgeNode node = startNode(server);
+    Socket client = connect(node);
+    String body = "b".repeat(LARGE_BODY_BYTES);
+    writeRequest(client, "POST /api", requestHeaders("t-1", "strict", "20000"), body);
+    server.awaitRequest();
+    assertEquals(LARGE_BODY_BYTES, node.loop().submit(node::usedRequestBytes).get());
+    proceed.complete(null);
+    assertEquals("200", readStatus(client));
+    assertEquals(0, node.loop().submit(node::usedRequestBytes).get());
+  }
+
   /** The response is written before the client's timeout, and the attempt ends. */
   @Test
   void silentEndpointTimesOutAndItsConnectionIsClosed() throws Exception {
