Drop the accounts of customers without a hard limit or a quota

Callers would see a node grow with every customer that ever came, until its memory is at an end.

Cause: an account is dropped once a new one would know as much, which asks for a full hard limit and a refilled quota. The bucket of a plan without a hard limit starts empty, has no rate and was never full once it was used; a plan without a quota never refills. Found by reading; QuotaAccount.isDisposable and HardLimitBucket.isFull.

Where there is no limit there is nothing to refill now.

--- a/src/main/java/merlinrouter/quota/HardLimitBucket.java
+++ b/src/main/java/merlinrouter/quota/HardLimitBucket.java
@@ -38,7 +38,8 @@
     units -= taken;
   }
 
+  /** Whether a new bucket could not hold more; a plan without a limit has nothing to hold. */
   boolean isFull() {
-    return units >= capacityUnits;
+    return fleetUnitsPerSecond <= 0 || units >= capacityUnits;
   }
 }
--- a/src/main/java/merlinrouter/quota/QuotaAccount.java
+++ b/src/main/java/merlinrouter/quota/QuotaAccount.java
@@ -315,7 +315,11 @@
       return false;
     }
     refill();
-    return Nanos.toSeconds(idleNanos) * plan.unitsPerSecond() >= plan.burstUnits()
-        && hardLimit.isFull();
+    return isQuotaRefilled(idleNanos) && hardLimit.isFull();
+  }
+
+  private boolean isQuotaRefilled(long idleNanos) {
+    return plan.unitsPerSecond() <= 0
+        || Nanos.toSeconds(idleNanos) * plan.unitsPerSecond() >= plan.burstUnits();
   }
 }
--- a/src/test/java/merlinrouter/gateway/RetentionTest.java
+++ b/src/test/java/merlinrouter/gateway/RetentionTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import merlinrouter.model.EndpointState;
 import merlinrouter.model.Outcome;
 import merlinrouter.settings.QuotaPlan;
@@ -40,6 +41,21 @@
     assertEquals(1, host.attemptsOf(later).size());
   }
 
+  /** Else memory grows with every customer that ever came. */
+  @Test
+  void aCustomerWithoutHardLimitOrQuotaIsDroppedToo() {
+    QuotaPlan withoutHardLimit = new QuotaPlan(1, 4, 0, 1, 0, 1, 0, 0, 0);
+    for (QuotaPlan plan : List.of(withoutHardLimit, UNLIMITED)) {
+      SimulatedHost host = SimulatedHost.withoutCounter(plan, 1).withEndpoints(2);
+      for (long customer = 0; customer < 300; customer++) {
+        host.endAttempt(requestUnits(host, customer, 1), Outcome.OK);
+      }
+      assertEquals(302, host.gateway.trackedCustomersAndEndpoints());
+      host.advance(50 * PER_SECOND);
+      assertEquals(2, host.gateway.trackedCustomersAndEndpoints());
+    }
+  }
+
   private static String requestUnits(SimulatedHost host, long customer, double units) {
     return host.request(IDEMPOTENT, 0, customer, units, host.nowNanos + 3 * PER_SECOND);
   }
