Count control intervals that a stall has missed as one

Callers would see shares and concurrency levels set from nothing: after a stall of some seconds, one control interval was made up for with each 10 ms timer, nearly without samples, and the controllers fitted their models to these.

Cause: Gateway.timerFired moved the interval's end on by one interval at a time. Found by reading.

The end of the interval now moves on past the present moment at once (time.FixedIntervals).

--- a/src/main/java/merlinrouter/gateway/Gateway.java
+++ b/src/main/java/merlinrouter/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import merlinrouter.settings.RequestClass;
 import merlinrouter.stats.ClassStatistics;
 import merlinrouter.time.EventClock;
+import merlinrouter.time.FixedIntervals;
 import merlinrouter.time.Nanos;
 
 /**
@@ -46,7 +47,7 @@
   private final ConcurrencyController concurrencyController;
   private final LoadBalancer loadBalancer;
   private final RequestDispatcher dispatcher;
-  private long nextControlAtNanos;
+  private final FixedIntervals controlIntervals;
 
   /**
    * Starts a gateway.
@@ -80,7 +81,7 @@
             concurrencyController,
             loadBalancer,
             TIMER_INTERVAL_NANOS);
-    nextControlAtNanos = nowNanos + CONTROL_INTERVAL_NANOS;
+    controlIntervals = new FixedIntervals(nowNanos, CONTROL_INTERVAL_NANOS);
     actions.scheduleTimer(TIMER_TOKEN, TIMER_INTERVAL_NANOS);
     if (settings.limits().endpointSubscription()) {
       actions.subscribeToEndpoints();
@@ -203,9 +204,7 @@
     dispatcher.giveUpExpired();
     quotas.decideOverdueAdmissions();
     quotas.reportUse();
-    if (nowNanos >= nextControlAtNanos) {
-      // Intervals that a stall has missed are made up for, one with each timer.
-      nextControlAtNanos += CONTROL_INTERVAL_NANOS;
+    if (controlIntervals.hasEnded(nowNanos)) {
       endControlInterval();
       quotas.dropDisposableAccounts();
     }
--- /dev/null
+++ b/src/test/java/merlinrouter/time/FixedIntervalsTest.java
@@ -0,0 +1,27 @@
+package merlinrouter.time;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** When intervals end. */
+class FixedIntervalsTest {
+  private final FixedIntervals intervals = new FixedIntervals(1_000, 100);
+
+  @Test
+  void anIntervalEndsOnceAndTheNextOneFollowsIt() {
+    assertFalse(intervals.hasEnded(1_099));
+    assertTrue(intervals.hasEnded(1_130));
+    assertFalse(intervals.hasEnded(1_199));
+    assertTrue(intervals.hasEnded(1_200));
+  }
+
+  /** Else controllers fit their models to intervals of one timer each, nearly without samples. */
+  @Test
+  void intervalsThatAStallHasMissedAreNotMadeUpFor() {
+    assertTrue(intervals.hasEnded(1_570));
+    assertFalse(intervals.hasEnded(1_580));
+    assertTrue(intervals.hasEnded(1_600));
+  }
+}
