Play series of signals, kills and crowds in the emulator's soak

Requests are judged from outside; a process that runs until the kill is no fault of its own there. What is read must be answered.

Each fault stands with its time in faults.log and, where a run fails, on standard output. A request whose connection is closed in order 0.1 s and more after it was sent counts as read, on a reused connection too: a close over unread bytes is a reset. Bad options get one line and status 2; a node that does not start is a fault of the run.

Not played: quota and slow start, which the emulator does not measure.

--- a/emulator/src/main/java/merlinrouter/emulator/Main.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Main.java
@@ -15,6 +15,18 @@
 
   /** Runs a command: 0 if it passed, 1 if it found a violation, 2 for a bad command line. */
   public static void main(String[] args) {
-    System.exit(new CommandLine(new Main()).execute(args));
+    System.exit(commandLine().execute(args));
+  }
+
+  /** The command line, which answers bad options with one line. */
+  static CommandLine commandLine() {
+    CommandLine commandLine = new CommandLine(new Main());
+    commandLine.setParameterExceptionHandler(
+        (exception, arguments) -> {
+          CommandLine failed = exception.getCommandLine();
+          failed.getErr().println(exception.getMessage());
+          return failed.getCommandSpec().exitCodeOnInvalidInput();
+        });
+    return commandLine;
   }
 }
--- a/emulator/src/main/java/merlinrouter/emulator/fleet/Fleet.java
+++ b/emulator/src/main/java/merlinrouter/emulator/fleet/Fleet.java
@@ -31,6 +31,9 @@
    */
   public record Node(String name, NodeProcess process, FaultShim shim, NodeConfig config) {}
 
+  /** The program in a checkout that has been built. */
+  public static final String PROGRAM = "target/merlinrouter.jar";
+
   private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
   private static final String SHIM_SOURCE = "emulator/src/main/c/faultshim.c";
 
@@ -43,6 +46,7 @@
   private final Path root;
   private final Path folder;
   private final DiscoveryServer discovery = new DiscoveryServer();
+  private final FaultProxy secondDiscoveryAddress = new FaultProxy(discovery.port());
   private final CounterServer counter = new CounterServer();
   private final RequestRegistry requests = new RequestRegistry();
   private final List<UpstreamServer> upstreams = new ArrayList<>();
@@ -147,6 +151,11 @@
     return discovery;
   }
 
+  /** Another {@code host:port} at which discovery is reached. */
+  public String secondDiscoveryAddress() {
+    return secondDiscoveryAddress.address();
+  }
+
   /** The quota counter. */
   public CounterServer counter() {
     return counter;
@@ -175,6 +184,7 @@
       proxy(upstream).close();
       upstream.close();
     }
+    secondDiscoveryAddress.close();
     discovery.close();
     counter.close();
   }
--- a/emulator/src/main/java/merlinrouter/emulator/fleet/NodeConfig.java
+++ b/emulator/src/main/java/merlinrouter/emulator/fleet/NodeConfig.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.InputStream;
+import java.time.Duration;
 
 /**
  * What a node's configuration file says beyond the template {@code node.json}.
@@ -25,6 +26,12 @@
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final String TEMPLATE = "/node.json";
 
+  /** How many file descriptors a node may use, as the template says. */
+  public static final int MAX_SOCKETS = 1_024;
+
+  /** The longest deadline of the template's request classes. */
+  public static final Duration LONGEST_DEADLINE = Duration.ofMillis(2_500);
+
   /** Multiplied with a node's number to get its seed: 2^64 divided by the golden ratio. */
   private static final long SEED_STEP = 0x9e3779b97f4a7c15L;
 
--- a/emulator/src/main/java/merlinrouter/emulator/fleet/NodeProcess.java
+++ b/emulator/src/main/java/merlinrouter/emulator/fleet/NodeProcess.java
@@ -120,6 +120,11 @@
     return process.waitFor(timeout.toMillis(), TimeUnit.MILLISECONDS);
   }
 
+  /** Whether the process has not ended. */
+  public boolean isAlive() {
+    return process.isAlive();
+  }
+
   /** The exit status of the process, which has ended. */
   public int exitStatus() {
     return process.exitValue();
--- a/emulator/src/main/java/merlinrouter/emulator/peer/Client.java
+++ b/emulator/src/main/java/merlinrouter/emulator/peer/Client.java
@@ -78,7 +78,8 @@
       socket.setSoTimeout((int) request.timeoutMillis() + EXTRA_WAIT_MILLIS);
       HttpMessage response = HttpMessage.read(socket.getInputStream());
       if (response == null) {
-        endOfConnection(request);
+        request.endInOrder();
+        close();
         return;
       }
       request.respond(response.status(), response.body());
@@ -100,6 +101,7 @@
 
   private void write(RequestRecord request, byte[] bytes, int length, long pauseMillis)
       throws InterruptedException {
+    request.markStarted();
     try {
       request.setConnectionReused(isConnected());
       if (!isConnected() && !connect()) {
--- a/emulator/src/main/java/merlinrouter/emulator/request/RequestRecord.java
+++ b/emulator/src/main/java/merlinrouter/emulator/request/RequestRecord.java
@@ -14,6 +14,7 @@
   private final RequestClass requestClass;
   private final long timeoutMillis;
   private final List<Attempt> attempts = new ArrayList<>();
+  private volatile long startedAtNanos;
   private volatile long sentAtNanos;
   private volatile long endedAtNanos;
   private volatile ClientOutcome outcome = ClientOutcome.PENDING;
@@ -21,6 +22,7 @@
   private volatile String body = "";
   private volatile boolean connectionReused;
   private volatile boolean incomplete;
+  private volatile boolean endedInOrder;
 
   /**
    * Creates the record of a request that has not been sent.
@@ -37,6 +39,11 @@
     this.timeoutMillis = timeoutMillis;
   }
 
+  /** The node that the request is sent to. */
+  public String nodeName() {
+    return nodeName;
+  }
+
   /** Identifies the request on the wire. */
   public String id() {
     return id;
@@ -72,6 +79,16 @@
     return incomplete;
   }
 
+  /** Records that the client begins to connect or to write. */
+  public void markStarted() {
+    startedAtNanos = System.nanoTime();
+  }
+
+  /** When the client began to connect or to write; 0 if it has not. */
+  public long startedAtNanos() {
+    return startedAtNanos;
+  }
+
   /** Records that the client has written all that it sends. */
   public void markSent() {
     sentAtNanos = System.nanoTime();
@@ -95,6 +112,17 @@
     outcome = how;
   }
 
+  /** Records that the node closed the connection in order (FIN) before a complete response. */
+  public void endInOrder() {
+    endedInOrder = true;
+    end(ClientOutcome.CONNECTION_CLOSED);
+  }
+
+  /** Whether the node closed the connection in order, not by a reset, before a response. */
+  public boolean isEndedInOrder() {
+    return endedInOrder;
+  }
+
   /** How the request ended. */
   public ClientOutcome outcome() {
     return outcome;
--- a/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
@@ -11,7 +11,9 @@
 import merlinrouter.emulator.peer.FaultProxy.Condition;
 import merlinrouter.emulator.peer.UpstreamServer.Behavior;
 
-/** Injects scheduled faults and ends them in time. Used by one thread. */
+/**
+ * Injects scheduled faults and ends them in time. Used by one thread, but where a method says so.
+ */
 final class FaultInjector {
   private static final List<Errno> SOCKET_ERRORS =
       List.of(Errno.ENFILE, Errno.EMFILE, Errno.ENOBUFS);
@@ -30,6 +32,7 @@
   private final NodeRestarter restarter;
   private final InvariantChecker checker;
   private final Timers timers;
+  private final FaultLog log;
 
   /** When the current outage of discovery began; 0 while there is none. */
   private volatile long discoveryOutageStartNanos;
@@ -39,18 +42,21 @@
       SoakUpstreams upstreams,
       NodeRestarter restarter,
       InvariantChecker checker,
-      Timers timers) {
+      Timers timers,
+      FaultLog log) {
     this.fleet = fleet;
     this.upstreams = upstreams;
     this.restarter = restarter;
     this.checker = checker;
     this.timers = timers;
+    this.log = log;
   }
 
   /** Begins a fault. */
   void inject(ScheduledFault fault) throws IOException, InterruptedException {
     Fleet.Node node = fleet.nodes().get(fault.selector() % fleet.nodes().size());
     SoakUpstreams.Upstream upstream = upstreams.pick(fault.selector());
+    log.begins(fault.kind(), describe(node, upstream, fault));
     switch (fault.kind()) {
       case ACCEPT_FAILS -> failCalls(node, Fault.ACCEPT, error(SOCKET_ERRORS, fault), fault);
       case SOCKET_FAILS -> failCalls(node, Fault.SOCKET, error(SOCKET_ERRORS, fault), fault);
@@ -65,7 +71,7 @@
       }
       case CLOCK_STEPS -> stepWallClock(node, fault);
       case NODE_HELD -> pause(node, fault);
-      case NODE_RELOADED -> node.process().signal(Signal.HUP);
+      case NODE_RELOADED -> restarter.reload(node);
       case NODE_RESTARTED -> restarter.restart(node);
       case SERVER_HANGS -> setBehavior(upstream, Behavior.HANG, fault);
       case SERVER_ERRS -> setBehavior(upstream, Behavior.ERROR, fault);
@@ -85,7 +91,7 @@
       case LINK_SILENT -> setCondition(upstream, Condition.BLACKHOLE, fault);
       case LINK_IN_PIECES -> setCondition(upstream, Condition.FRAGMENTED, fault);
       case LINK_SLOW -> setCondition(upstream, Condition.DELAYED, fault);
-      case DISCOVERY_SILENT -> interruptDiscovery(fault);
+      case DISCOVERY_SILENT -> interruptDiscovery(fault.durationMillis());
       case WATCHES_RESET -> fleet.discovery().resetConnections();
       case COUNTER_SILENT -> {
         fleet.counter().setUnresponsive(true);
@@ -143,14 +149,22 @@
     timers.schedule(fault.durationMillis(), () -> proxy.setCondition(Condition.NORMAL));
   }
 
-  private void interruptDiscovery(ScheduledFault fault) {
+  private static String describe(
+      Fleet.Node node, SoakUpstreams.Upstream upstream, ScheduledFault fault) {
+    return String.format(
+        "(node %s, server %s, selector %d, %d ms)",
+        node.name(), upstream.server().id(), fault.selector(), fault.durationMillis());
+  }
+
+  /** Makes discovery unresponsive for a while, unless it is. Called by any thread. */
+  synchronized void interruptDiscovery(long durationMillis) {
     if (discoveryOutageStartNanos != 0) {
       return;
     }
     discoveryOutageStartNanos = System.nanoTime();
     fleet.discovery().setUnresponsive(true);
     timers.schedule(
-        fault.durationMillis(),
+        durationMillis,
         () -> {
           fleet.discovery().setUnresponsive(false);
           checker.discoveryRecovered(discoveryOutageStartNanos, System.nanoTime());
--- a/emulator/src/main/java/merlinrouter/emulator/soak/NodeRestarter.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/NodeRestarter.java
@@ -9,78 +9,150 @@
 import merlinrouter.emulator.fleet.Fleet;
 import merlinrouter.emulator.fleet.NodeProcess;
 import merlinrouter.emulator.fleet.NodeProcess.Signal;
+import merlinrouter.emulator.invariant.InvariantChecker;
 import merlinrouter.emulator.peer.BackgroundThreads;
 
-/** Restarts nodes as a planned restart does, and records what goes wrong. */
+/** Restarts nodes, as planned or after a kill, and records what goes wrong. */
 final class NodeRestarter {
   private static final Duration MAX_START = Duration.ofSeconds(10);
 
-  /** A little more than the longest deadline: all requests in flight have ended by then. */
-  private static final Duration MAX_SHUTDOWN = Duration.ofMillis(3_700);
+  /** No SIGHUP comes before a node is ready, nor for this long after it is. */
+  private static final long RELOAD_DELAY_MILLIS = 1_000;
 
-  /** How long the load balancer still opens connections after a SIGTERM. */
+  /** How long the load balancer still opens connections after the SIGTERM of a plain restart. */
   private static final long LOAD_BALANCER_DELAY_MILLIS = 300;
 
   private final Fleet fleet;
+  private final InvariantChecker checker;
   private final Map<String, NodeTraffic> trafficByNodeName;
+  private final SoakSettings settings;
   private final Timers timers;
   private final List<NodeFault> nodeFaults;
   private final Set<String> restartingNodeNames = ConcurrentHashMap.newKeySet();
 
+  /** Nodes whose process has not been ready for a second yet. */
+  private final Set<String> startingNodeNames = ConcurrentHashMap.newKeySet();
+
   /**
    * Creates a restarter.
    *
+   * @param checker is notified of kills
+   * @param settings tell how long after SIGTERM a process that has not ended is killed
    * @param nodeFaults where faults are added, by any thread
    */
   NodeRestarter(
       Fleet fleet,
+      InvariantChecker checker,
       Map<String, NodeTraffic> trafficByNodeName,
+      SoakSettings settings,
       Timers timers,
       List<NodeFault> nodeFaults) {
     this.fleet = fleet;
+    this.checker = checker;
     this.trafficByNodeName = trafficByNodeName;
+    this.settings = settings;
     this.timers = timers;
     this.nodeFaults = nodeFaults;
   }
 
-  /** Begins a restart, unless one of this node is in progress. */
-  void restart(Fleet.Node node) throws IOException, InterruptedException {
+  /** Begins a planned restart, unless a restart of this node is in progress. */
+  boolean restart(Fleet.Node node) throws IOException, InterruptedException {
+    return restart(node, SignalSeries.termination(), LOAD_BALANCER_DELAY_MILLIS);
+  }
+
+  /**
+   * Begins a planned restart, unless a restart of this node is in progress.
+   *
+   * @param signals a series that holds a SIGTERM
+   * @param loadBalancerDelayMillis how long new connections are still opened
+   * @return whether it has begun
+   */
+  boolean restart(Fleet.Node node, SignalSeries signals, long loadBalancerDelayMillis)
+      throws IOException, InterruptedException {
     if (!restartingNodeNames.add(node.name())) {
-      return;
+      return false;
     }
     NodeTraffic traffic = trafficByNodeName.get(node.name());
     // A paused process would not see the SIGTERM.
     node.process().signal(Signal.CONT);
-    node.process().signal(Signal.TERM);
-    timers.schedule(LOAD_BALANCER_DELAY_MILLIS, () -> traffic.setNewConnectionsAllowed(false));
+    boolean starting = startingNodeNames.contains(node.name());
+    SignalSeries allowedSignals = starting ? signals.withoutReloads() : signals;
+    long terminatedAtNanos = System.nanoTime();
+    timers.schedule(loadBalancerDelayMillis, () -> traffic.setNewConnectionsAllowed(false));
     BackgroundThreads.start(
         "restart of " + node.name(),
         () -> {
-          awaitShutdown(node.name(), node.process());
-          start(node);
-          traffic.setNewConnectionsAllowed(true);
-          restartingNodeNames.remove(node.name());
+          allowedSignals.send(node.process());
+          awaitShutdown(
+              node.name(), node.process(), terminatedAtNanos + settings.killDelay().toNanos());
+          startAgain(node);
         });
+    return true;
   }
 
-  private void awaitShutdown(String nodeName, NodeProcess process) throws InterruptedException {
-    if (!process.awaitExit(MAX_SHUTDOWN)) {
-      nodeFaults.add(
-          new NodeFault(
-              nodeName, "has not ended " + MAX_SHUTDOWN.toMillis() + " ms after SIGTERM"));
+  /**
+   * Kills a node and begins to start it again, unless a restart of this node is in progress.
+   *
+   * @return whether it was killed
+   */
+  boolean kill(Fleet.Node node) {
+    if (!restartingNodeNames.add(node.name())) {
+      return false;
+    }
+    NodeTraffic traffic = trafficByNodeName.get(node.name());
+    traffic.setNewConnectionsAllowed(false);
+    long killedAtNanos = System.nanoTime();
+    node.process().close();
+    BackgroundThreads.start(
+        "restart of " + node.name(),
+        () -> {
+          node.process().awaitExit(MAX_START);
+          checker.nodeKilled(node.name(), killedAtNanos, System.nanoTime());
+          startAgain(node);
+        });
+    return true;
+  }
+
+  private void awaitShutdown(String nodeName, NodeProcess process, long killAtNanos)
+      throws InterruptedException {
+    Duration left = Duration.ofNanos(Math.max(0, killAtNanos - System.nanoTime()));
+    if (!process.awaitExit(left)) {
+      if (!settings.hard()) {
+        long millis = settings.killDelay().toMillis();
+        nodeFaults.add(new NodeFault(nodeName, "has not ended " + millis + " ms after SIGTERM"));
+      }
       process.close();
-      process.awaitExit(MAX_SHUTDOWN);
+      process.awaitExit(MAX_START);
     } else if (process.exitStatus() != 0) {
       nodeFaults.add(new NodeFault(nodeName, "ended with status " + process.exitStatus()));
     }
   }
 
-  private void start(Fleet.Node node) throws IOException, InterruptedException {
-    fleet.startAgain(node);
-    if (!node.process().awaitReady(MAX_START)) {
-      nodeFaults.add(
-          new NodeFault(
-              node.name(), "is not ready " + MAX_START.toSeconds() + " s after its start"));
+  /** Reloads a node's configuration by SIGHUP, unless it is starting. */
+  void reload(Fleet.Node node) throws IOException, InterruptedException {
+    if (!startingNodeNames.contains(node.name())) {
+      node.process().signal(Signal.HUP);
     }
   }
+
+  private void startAgain(Fleet.Node node) throws InterruptedException {
+    startingNodeNames.add(node.name());
+    try {
+      fleet.startAgain(node);
+      if (!node.process().awaitReady(MAX_START)) {
+        nodeFaults.add(new NodeFault(node.name(), describeFailedStart(node.process())));
+      }
+    } catch (IOException e) {
+      nodeFaults.add(new NodeFault(node.name(), "could not be started: " + e.getMessage()));
+    }
+    timers.schedule(RELOAD_DELAY_MILLIS, () -> startingNodeNames.remove(node.name()));
+    trafficByNodeName.get(node.name()).setNewConnectionsAllowed(true);
+    restartingNodeNames.remove(node.name());
+  }
+
+  private static String describeFailedStart(NodeProcess process) {
+    return process.isAlive()
+        ? "is not ready " + MAX_START.toSeconds() + " s after its start"
+        : "ended with status " + process.exitStatus() + " during its start";
+  }
 }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
@@ -5,10 +5,18 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
 import merlinrouter.emulator.fleet.Fleet;
+import merlinrouter.emulator.invariant.Invariant;
+import merlinrouter.emulator.invariant.Violation;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
 
 /** The {@code soak} command: runs soak tests of several seeds, one after another. */
 @Command(
@@ -67,30 +75,67 @@
       description = "Inject only these kinds of fault: ${COMPLETION-CANDIDATES}.")
   private List<FaultKind> kinds = List.of(FaultKind.values());
 
+  @Option(
+      names = "--hard",
+      description = {
+        "Also inject faults of whole processes: series of signals, outright kills, restarts of"
+            + " neighbors and, where 3 divides the seed, crowds of idle clients. A node that has"
+            + " not ended by the longest deadline and 0.7 s after SIGTERM is killed."
+      })
+  private boolean hard;
+
   @Option(
       names = "--folder",
       description =
           "Where the nodes' configuration and log files go (default: a new temporary folder).")
   private Path folder;
 
+  @Spec private CommandSpec command;
+
   @Override
   public Integer call() throws IOException, InterruptedException {
+    validate();
+    SoakSettings settings =
+        new SoakSettings(
+            nodeCount,
+            upstreamCount,
+            Duration.ofSeconds(durationSeconds),
+            emulatorDelayMillis,
+            kinds,
+            hard);
     boolean passed = true;
     Path runsFolder = folder == null ? Files.createTempDirectory("soak") : folder;
     for (long seed = firstSeed; seed < firstSeed + seedCount; seed++) {
-      passed &= run(seed, runsFolder.resolve("seed-" + seed));
+      passed &= run(seed, runsFolder.resolve("seed-" + seed), settings);
     }
     return passed ? EXIT_PASSED : EXIT_FAILED;
   }
 
-  private boolean run(long seed, Path seedFolder) throws IOException, InterruptedException {
-    try (SoakRun run = new SoakRun(new Fleet(root, seedFolder), seed, emulatorDelayMillis)) {
-      SoakResult result =
-          run.run(
-              new FaultSchedule(seed, kinds),
-              nodeCount,
-              upstreamCount,
-              Duration.ofSeconds(durationSeconds));
+  private void validate() {
+    requireAtLeast("--seeds", seedCount, 1);
+    requireAtLeast("--nodes", nodeCount, 1);
+    requireAtLeast("--servers", upstreamCount, 1);
+    requireAtLeast("--seconds", durationSeconds, 1);
+    requireAtLeast("--own-delay-ms", emulatorDelayMillis, 0);
+    if (!Files.isRegularFile(root.resolve(Fleet.PROGRAM))) {
+      throw badOption("--root " + root + " has no built program " + Fleet.PROGRAM);
+    }
+  }
+
+  private void requireAtLeast(String option, long value, long minimum) {
+    if (value < minimum) {
+      throw badOption(option + " must be at least " + minimum + ", not " + value);
+    }
+  }
+
+  private ParameterException badOption(String message) {
+    return new ParameterException(command.commandLine(), message);
+  }
+
+  private boolean run(long seed, Path seedFolder, SoakSettings settings)
+      throws IOException, InterruptedException {
+    try (SoakRun run = new SoakRun(root, seedFolder, seed, settings)) {
+      SoakResult result = run.run();
       print(seed, seedFolder, result);
       return result.passed();
     }
@@ -99,7 +144,7 @@
   private static void print(long seed, Path seedFolder, SoakResult result) {
     System.out.printf(
         "seed %d: %s %s, %d violations, %d inconclusive while the emulator was stalled,"
-            + " %d node faults, %d attempts with an unknown id; logs in %s%n",
+            + " %d node faults, %d attempts with an unknown id, %d faults; logs in %s%n",
         seed,
         result.passed() ? "passed" : "FAILED",
         result.requestsByOutcome(),
@@ -107,10 +152,21 @@
         result.inconclusive().size(),
         result.nodeFaults().size(),
         result.unknownAttempts(),
+        result.faultLines().size(),
         seedFolder);
+    System.out.println("  faults " + result.faultsByKind());
+    System.out.println("  violations " + countsByInvariant(result.violations()));
     printFirst("  ", result.violations());
     printFirst("  inconclusive ", result.inconclusive());
     printFirst("  ", result.nodeFaults());
+    if (!result.passed()) {
+      result.faultLines().forEach(line -> System.out.println("  " + line));
+    }
+  }
+
+  private static Map<Invariant, Long> countsByInvariant(List<Violation> violations) {
+    return violations.stream()
+        .collect(Collectors.groupingBy(Violation::invariant, TreeMap::new, Collectors.counting()));
   }
 
   private static void printFirst(String prefix, List<?> findings) {
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakResult.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakResult.java
@@ -13,13 +13,17 @@
  *     do not fail the test
  * @param nodeFaults processes that behaved wrongly
  * @param unknownAttempts how many attempts carried an id that no client sent
+ * @param faultsByKind how many faults of each kind were injected
+ * @param faultLines the faults with their times, as in the run's {@code faults.log}
  */
 record SoakResult(
     Map<String, Integer> requestsByOutcome,
     List<Violation> violations,
     List<Violation> inconclusive,
     List<NodeFault> nodeFaults,
-    long unknownAttempts) {
+    long unknownAttempts,
+    Map<String, Integer> faultsByKind,
+    List<String> faultLines) {
 
   /** Whether nothing speaks against the nodes. */
   boolean passed() {
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
@@ -1,7 +1,7 @@
 package merlinrouter.emulator.soak;
 
 import java.io.IOException;
-import java.time.Duration;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -24,9 +24,14 @@
   /** Start of the line by which a node reports that it would have violated an invariant. */
   private static final String VIOLATION_LOG_PREFIX = "invariant violated";
 
+  /** Makes the process faults of a seed independent of its clients' choices. */
+  private static final long PROCESS_FAULT_SEED_OFFSET = 0x5eed_0000_0000L;
+
   private final Fleet fleet;
+  private final long seed;
+  private final SoakSettings settings;
   private final InvariantChecker checker;
-  private final SplittableRandom random;
+  private final FaultLog faultLog;
   private final StallMonitor stalls = new StallMonitor();
   private final Timers timers = new Timers();
   private final Map<String, NodeTraffic> trafficByNodeName = new LinkedHashMap<>();
@@ -35,37 +40,69 @@
   /**
    * Prepares a run.
    *
-   * @param fleet a fleet without nodes and servers; closed with the run
-   * @param seed determines the clients' choices
-   * @param emulatorDelayMillis allowance for delays of the emulator's own threads
+   * @param folder where configuration and log files go; created if it does not exist
+   * @param root the checkout with the built program
+   * @param seed determines the faults and the clients' choices
    */
-  SoakRun(Fleet fleet, long seed, long emulatorDelayMillis) {
-    this.fleet = fleet;
-    checker = new InvariantChecker(emulatorDelayMillis);
-    random = new SplittableRandom(seed);
+  SoakRun(Path root, Path folder, long seed, SoakSettings settings) throws IOException {
+    fleet = new Fleet(root, folder);
+    faultLog = new FaultLog(folder);
+    checker = new InvariantChecker(settings.emulatorDelayMillis());
+    this.seed = seed;
+    this.settings = settings;
   }
 
-  /** Injects the schedule's faults for a time and checks all requests. */
-  SoakResult run(FaultSchedule schedule, int nodeCount, int upstreamCount, Duration duration)
-      throws IOException, InterruptedException {
+  /** Injects faults for a time and checks all requests. */
+  SoakResult run() throws IOException, InterruptedException {
     stalls.start();
-    SoakUpstreams upstreams = new SoakUpstreams(fleet, checker, upstreamCount);
-    fleet.startNodes(nodeCount);
+    SoakUpstreams upstreams = new SoakUpstreams(fleet, checker, settings.upstreamCount());
+    try {
+      fleet.startNodes(settings.nodeCount());
+    } catch (IOException e) {
+      nodeFaults.add(new NodeFault("fleet", e.getMessage()));
+      return result();
+    }
+    startTraffic();
+    injectFaults(upstreams);
+    for (NodeTraffic traffic : trafficByNodeName.values()) {
+      traffic.stop();
+    }
+    return result();
+  }
+
+  private void startTraffic() {
+    SplittableRandom random = new SplittableRandom(seed);
     for (Fleet.Node node : fleet.nodes()) {
       trafficByNodeName.put(node.name(), new NodeTraffic(node, fleet.requests(), random.split()));
     }
-    NodeRestarter restarter = new NodeRestarter(fleet, trafficByNodeName, timers, nodeFaults);
-    FaultInjector injector = new FaultInjector(fleet, upstreams, restarter, checker, timers);
-    long endNanos = System.nanoTime() + duration.toNanos();
+  }
+
+  private void injectFaults(SoakUpstreams upstreams) throws IOException, InterruptedException {
+    NodeRestarter restarter =
+        new NodeRestarter(fleet, checker, trafficByNodeName, settings, timers, nodeFaults);
+    FaultInjector injector =
+        new FaultInjector(fleet, upstreams, restarter, checker, timers, faultLog);
+    List<ProcessFaultKind> processFaultKinds = settings.processFaultKinds(seed);
+    ProcessFaultInjector processFaults =
+        new ProcessFaultInjector(
+            fleet,
+            checker,
+            injector,
+            restarter,
+            faultLog,
+            new SplittableRandom(seed + PROCESS_FAULT_SEED_OFFSET),
+            processFaultKinds);
+    if (!processFaultKinds.isEmpty()) {
+      processFaults.start();
+    }
+    FaultSchedule schedule = new FaultSchedule(seed, settings.kinds());
+    long endNanos = System.nanoTime() + settings.duration().toNanos();
     while (System.nanoTime() - endNanos < 0) {
       ScheduledFault fault = schedule.next();
       injector.inject(fault);
       Thread.sleep(fault.delayToNextMillis());
     }
-    for (NodeTraffic traffic : trafficByNodeName.values()) {
-      traffic.stop();
-    }
-    return result();
+    processFaults.stop();
   }
 
   private SoakResult result() throws IOException {
@@ -76,7 +113,11 @@
       requestsByOutcome.merge(outcome(request), 1, Integer::sum);
       long stalledNanos = stalls.stalledNanos(request.sentAtNanos(), lastObservationNanos(request));
       boolean conclusive = stalledNanos <= MAX_STALL_NANOS;
-      (conclusive ? violations : inconclusive).addAll(checker.check(request));
+      for (Violation violation : checker.check(request)) {
+        String time = "sent at " + faultLog.millisSinceStart(request.sentAtNanos()) + " ms, ";
+        (conclusive ? violations : inconclusive)
+            .add(new Violation(violation.invariant(), time + violation.evidence()));
+      }
     }
     for (Fleet.Node node : fleet.nodes()) {
       addReportedViolations(node);
@@ -86,7 +127,9 @@
         violations,
         inconclusive,
         List.copyOf(nodeFaults),
-        fleet.requests().unknownAttempts());
+        fleet.requests().unknownAttempts(),
+        faultLog.countsByKind(),
+        faultLog.lines());
   }
 
   private static String outcome(RequestRecord request) {
--- /dev/null
+++ b/emulator/src/test/java/merlinrouter/emulator/SoakTest.java
@@ -0,0 +1,44 @@
+package merlinrouter.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Short soak tests of some seeds, one of them with crowds of idle clients. */
+@Timeout(300)
+class SoakTest {
+  /** The seeds are 1 to 3. */
+  private static final String SEEDS = "3";
+
+  /** Allows for a machine that is busy with other work, unlike the option's default. */
+  private static final String EMULATOR_DELAY_MILLIS = "250";
+
+  @TempDir Path folder;
+
+  @Test
+  void invariantsHoldUnderFaultsOfWholeProcesses() {
+    int status =
+        Main.commandLine()
+            .execute(
+                "soak",
+                "--root",
+                NodeFaultTestBase.ROOT.toString(),
+                "--folder",
+                folder.toString(),
+                "--hard",
+                "--seeds",
+                SEEDS,
+                "--nodes",
+                "4",
+                "--servers",
+                "4",
+                "--seconds",
+                "12",
+                "--own-delay-ms",
+                EMULATOR_DELAY_MILLIS);
+    assertEquals(0, status, "the violations and faults stand on standard output");
+  }
+}
--- a/emulator/src/test/java/merlinrouter/emulator/invariant/InvariantCheckerTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/invariant/InvariantCheckerTest.java
@@ -16,6 +16,9 @@
   private static final long TIMEOUT_MILLIS = 1_000;
   private static final String ENDPOINT_ID = "s-0";
 
+  /** Longer than the checker lets a request be on its way. */
+  private static final long ORDERLY_CLOSE_DELAY_MILLIS = 150;
+
   private final RequestRegistry requests = new RequestRegistry();
   private final InvariantChecker checker = new InvariantChecker(0);
 
@@ -163,4 +166,60 @@
   private static long secondsBefore(RequestRecord request, long seconds) {
     return request.sentAtNanos() - TimeUnit.SECONDS.toNanos(seconds);
   }
+
+  private RequestRecord closedRequest(boolean connectionReused) {
+    RequestRecord request = requests.register("n0", RequestClass.IDEMPOTENT, TIMEOUT_MILLIS);
+    request.setConnectionReused(connectionReused);
+    request.markStarted();
+    request.markSent();
+    request.end(ClientOutcome.CONNECTION_CLOSED);
+    return request;
+  }
+
+  @Test
+  void orderlyCloseLongAfterTheRequestWasSentShowsThatItWasRead() throws InterruptedException {
+    RequestRecord request = requests.register("n0", RequestClass.IDEMPOTENT, TIMEOUT_MILLIS);
+    request.setConnectionReused(true);
+    request.markSent();
+    Thread.sleep(ORDERLY_CLOSE_DELAY_MILLIS);
+    request.endInOrder();
+    assertViolates(request, Invariant.NO_CLOSE_WITHOUT_RESPONSE);
+  }
+
+  @Test
+  void nodeThatIsKilledOwesNoResponseToTheRequestsOfThatTime() {
+    long killedAtNanos = System.nanoTime();
+    RequestRecord during = closedRequest(false);
+    RequestRecord unanswered = sentRequest(RequestClass.IDEMPOTENT);
+    unanswered.markStarted();
+    unanswered.end(ClientOutcome.NO_RESPONSE);
+    checker.nodeKilled("n0", killedAtNanos, System.nanoTime());
+    assertViolates(during);
+    assertViolates(unanswered);
+    assertViolates(closedRequest(false), Invariant.NO_CLOSE_WITHOUT_RESPONSE);
+  }
+
+  @Test
+  void attemptsOfAnExecutedRequestAreCheckedThoughItsNodeWasKilled() {
+    long killedAtNanos = System.nanoTime();
+    RequestRecord request = sentRequest(RequestClass.NON_IDEMPOTENT);
+    request.markStarted();
+    request.end(ClientOutcome.CONNECTION_CLOSED);
+    addAttempt(request, 1, TIMEOUT_MILLIS - 1, false);
+    addAttempt(request, 2, TIMEOUT_MILLIS - 2, false);
+    checker.nodeKilled("n0", killedAtNanos, System.nanoTime());
+    assertViolates(request, Invariant.NON_IDEMPOTENT_NOT_RETRIED);
+  }
+
+  @Test
+  void newConnectionMayBeClosedUnreadOnlyWhileIdleClientsTakeTheDescriptors() {
+    long cameAtNanos = System.nanoTime();
+    RequestRecord unread = closedRequest(false);
+    RequestRecord forwarded = closedRequest(false);
+    addAttempt(forwarded, 1, TIMEOUT_MILLIS - 1, false);
+    checker.crowded("n0", cameAtNanos, System.nanoTime());
+    assertViolates(unread);
+    assertViolates(forwarded, Invariant.NO_CLOSE_WITHOUT_RESPONSE);
+    assertViolates(closedRequest(false), Invariant.NO_CLOSE_WITHOUT_RESPONSE);
+  }
 }
