Try a failed write of a response again for a moment

Callers saw their connection close over a served request where the system was short of buffers for a moment.

Writes on accepted connections are now tried again every 5 ms, 20 times at most. A broken connection is still closed at once by its reads. Writes to endpoints, discovery and the counter fail as before: an attempt that was not written goes to another connection, and must not begin 0.1 s after its client has left.

ConnectionFaultTest.failedWriteOfResponseIsRetried failed before: a third of the writes fail with ENOBUFS, and a request ended with CONNECTION_CLOSED after 4 ms, its attempt made and answered.

--- a/emulator/src/test/java/merlinrouter/emulator/ConnectionFaultTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/ConnectionFaultTest.java
@@ -36,6 +36,18 @@
     exchangeAllClasses(newClient(node), REQUESTS);
   }
 
+  /** Else a system that is short of buffers for a moment costs clients their responses. */
+  @Test
+  void failedWriteOfResponseIsRetried() throws Exception {
+    Fleet.Node node = startNode(respondAtOnce(), respondAtOnce());
+    Client client = newClient(node);
+    node.shim().failEvery(Fault.WRITE, 3, Errno.ENOBUFS);
+    for (int i = 0; i < REQUESTS; i++) {
+      RequestRecord request = exchange(client, RequestClass.IDEMPOTENT);
+      assertEquals(ClientOutcome.RESPONDED, request.outcome(), request.toString());
+    }
+  }
+
   @Test
   void responseWithoutLengthIsForwardedOnlyAfterOrderlyClose() throws Exception {
     Fleet.Node node =
--- a/src/main/java/merlinrouter/node/transport/TcpChannel.java
+++ b/src/main/java/merlinrouter/node/transport/TcpChannel.java
@@ -2,13 +2,21 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A TCP connection that distinguishes an orderly end of input from everything else that a read may
  * return. The JDK returns a number below {@code -1} for a read that a signal interrupted, and Netty
  * takes every negative number for the end.
+ *
+ * <p>On an accepted connection a write that fails is tried again for a moment: the system may be
+ * short of buffers (ENOBUFS), and the response would be lost. A connection that is broken is closed
+ * meanwhile by its reads, or when the tries are used up. On other connections a failed write is
+ * reported at once, since whoever waits for it can choose another connection.
  */
 public final class TcpChannel extends NioSocketChannel {
   private static final int END_OF_STREAM = -1;
@@ -16,14 +24,25 @@
   /** After this many interrupts in a row the read is left to the event loop's next poll. */
   private static final int MAX_INTERRUPTED_READS = 16;
 
+  /** Together 100 ms. */
+  private static final int MAX_FAILED_WRITES = 20;
+
+  private static final long WRITE_RETRY_DELAY_MILLIS = 5;
+
+  private final boolean retriesWrites;
   private boolean inputEnded;
+  private int failedWrites;
+  private boolean writeRetryScheduled;
 
   /** Creates a channel that is not connected yet. */
-  public TcpChannel() {}
+  public TcpChannel() {
+    retriesWrites = false;
+  }
 
   /** Creates the channel of a connection that {@code listeningChannel} accepted. */
   TcpChannel(Channel listeningChannel, SocketChannel accepted) {
     super(listeningChannel, accepted);
+    retriesWrites = true;
   }
 
   /**
@@ -45,4 +64,27 @@
     }
     return bytesRead < END_OF_STREAM ? 0 : bytesRead;
   }
+
+  @Override
+  protected void doWrite(ChannelOutboundBuffer outbound) throws Exception {
+    if (writeRetryScheduled) {
+      return;
+    }
+    try {
+      super.doWrite(outbound);
+      failedWrites = 0;
+    } catch (IOException e) {
+      failedWrites++;
+      if (!retriesWrites || failedWrites > MAX_FAILED_WRITES) {
+        throw e;
+      }
+      writeRetryScheduled = true;
+      eventLoop().schedule(this::retryWrite, WRITE_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void retryWrite() {
+    writeRetryScheduled = false;
+    ((AbstractNioUnsafe) unsafe()).forceFlush();
+  }
 }
