Read an idle client connection before it is closed

Callers saw their connection close over a request that they had sent during a stall of the node's event loop.

Cause: the check of timeouts closes what has been idle for 2 s by the clock. After a stall between the poll of the sockets and that timer, a request of the client may be there unread. The same holds for evictions.

A connection between requests is now read before the node closes it, and stays open if a request has arrived.

ClientRaceTest.idleConnectionIsNotClosedOverRequestThatArrivedDuringEventLoopStall failed before: "the connection ended without a response".

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -176,12 +176,26 @@
   }
 
   @Override
-  public void initiateClose(String reason) {
-    if (handler.guard().mayClose(openRequest, reason)) {
-      handler.log().count(NodeLog.Event.IDLE_CLOSED);
-      closing = true;
-      channel.close();
+  public boolean initiateClose(String reason) {
+    if (hasUnreadRequest() || !handler.guard().mayClose(openRequest, reason)) {
+      return false;
     }
+    handler.log().count(NodeLog.Event.IDLE_CLOSED);
+    closing = true;
+    channel.close();
+    return true;
+  }
+
+  /**
+   * Whether bytes of a request have arrived that were not read yet; reads them. The event loop may
+   * have stalled since it last polled its sockets.
+   */
+  private boolean hasUnreadRequest() {
+    if (closing || !isBetweenRequests()) {
+      return false;
+    }
+    presence.readAvailable();
+    return channel.isActive() && !isBetweenRequests();
   }
 
   @Override
--- a/src/main/java/merlinrouter/node/downstream/ClientPresence.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientPresence.java
@@ -52,19 +52,24 @@
    * with a stalled event loop, or one that is still handling other sockets, a close may not have
    * been delivered yet.
    */
-  @SuppressWarnings("deprecation") // no other handle is offered by the channel's unsafe side
   boolean readAndCheckDisconnected() {
+    readAvailable();
+    if (isReadable()) {
+      lastSeenNanos = System.nanoTime();
+      readingPaused = false;
+    }
+    return !channel.isActive() || System.nanoTime() - lastSeenNanos > MAX_UNSEEN_NANOS;
+  }
+
+  /** Reads all that has arrived, up to the client's close. */
+  @SuppressWarnings("deprecation") // no other handle is offered by the channel's unsafe side
+  void readAvailable() {
     RecvByteBufAllocator.Handle lastRead = channel.unsafe().recvBufAllocHandle();
     boolean mayRead = isReadable();
     while (mayRead) {
       ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
       mayRead = isReadable() && lastRead.lastBytesRead() > 0;
     }
-    if (isReadable()) {
-      lastSeenNanos = System.nanoTime();
-      readingPaused = false;
-    }
-    return !channel.isActive() || System.nanoTime() - lastSeenNanos > MAX_UNSEEN_NANOS;
   }
 
   private boolean isReadable() {
--- a/src/main/java/merlinrouter/node/downstream/ConnectionRegistry.java
+++ b/src/main/java/merlinrouter/node/downstream/ConnectionRegistry.java
@@ -67,10 +67,11 @@
         candidate = connection;
       }
     }
-    if (candidate != null) {
-      candidate.initiateClose("evicted for a new connection");
+    if (candidate == null) {
+      return false;
     }
-    return candidate != null;
+    // A request may have arrived on it meanwhile; then it is no candidate any more.
+    return candidate.initiateClose("evicted for a new connection") || evictFor(newest);
   }
 
   private static boolean isIdleLonger(TrackedConnection connection, TrackedConnection other) {
--- a/src/main/java/merlinrouter/node/downstream/TrackedConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/TrackedConnection.java
@@ -28,8 +28,10 @@
   void enforceTimeouts();
 
   /**
-   * Closes it on the node's initiative. Does nothing, apart from counting a violation, if a request
-   * is open on it.
+   * Closes it on the node's initiative, unless a request has arrived on it unread while it was
+   * between requests. Does nothing either, apart from counting a violation, if a request is open.
+   *
+   * @return whether it is being closed
    */
-  void initiateClose(String reason);
+  boolean initiateClose(String reason);
 }
--- a/src/test/java/merlinrouter/node/ClientRaceTest.java
+++ b/src/test/java/merlinrouter/node/ClientRaceTest.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -17,6 +18,11 @@
  */
 @Timeout(120)
 class ClientRaceTest extends EventLoopFixture {
+  /** Longer than the interval at which timeouts of connections are checked. */
+  private static final long STALL_BEYOND_TIMEOUT_CHECK_MILLIS = 300;
+
+  private static final long STALL_BEYOND_IDLE_TIMEOUT_MILLIS = 2_200;
+
   private static final String NOT_EXECUTED_RESPONSE =
       "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -228,4 +234,31 @@
     writeKeyedRequest(connect(node), "t-2");
     assertEquals("t-2", server.awaitRequest().requestId());
   }
+
+  /**
+   * Else a request that comes while the event loop is stalled is lost if its connection has been
+   * idle for too long when the stall ends. Both tasks are due in one turn of the event loop, with
+   * no poll of the sockets between them.
+   */
+  @Test
+  void idleConnectionIsNotClosedOverRequestThatArrivedDuringEventLoopStall() throws Exception {
+    EdgeNode node = startNode(startOkServer("x"));
+    Socket client = connect(node);
+    assertEquals("200", requestStatus(client, "t-1"));
+    runOnEventLoop(
+        node,
+        () -> {
+          node.loop()
+              .schedule(
+                  () -> {
+                    writeKeyedRequest(client, "t-2");
+                    Thread.sleep(STALL_BEYOND_IDLE_TIMEOUT_MILLIS);
+                    return null;
+                  },
+                  0,
+                  TimeUnit.NANOSECONDS);
+          Thread.sleep(STALL_BEYOND_TIMEOUT_CHECK_MILLIS);
+        });
+    assertEquals("200", readStatus(client));
+  }
 }
--- a/src/test/java/merlinrouter/node/downstream/ConnectionRegistryTest.java
+++ b/src/test/java/merlinrouter/node/downstream/ConnectionRegistryTest.java
@@ -21,6 +21,7 @@
     private boolean received;
     private boolean receiving;
     private boolean closing;
+    private boolean requestArrivesUnread;
     private long sinceNanos;
     private String closeReason;
 
@@ -74,9 +75,15 @@
     }
 
     @Override
-    public void initiateClose(String reason) {
+    public boolean initiateClose(String reason) {
+      if (requestArrivesUnread) {
+        requestArrivesUnread = false;
+        receiving = true;
+        return false;
+      }
       closing = true;
       closeReason = reason;
+      return true;
     }
   }
 
@@ -94,6 +101,19 @@
     assertEquals(MAX_CONNECTIONS, registry.size());
   }
 
+  @Test
+  void aConnectionOnWhichARequestHasArrivedIsNotEvicted() {
+    ScriptedConnection awaited = ScriptedConnection.idleSince(5);
+    awaited.requestArrivesUnread = true;
+    ScriptedConnection later = ScriptedConnection.idleSince(9);
+    assertTrue(registry.add(awaited));
+    assertTrue(registry.add(later));
+    fillWithOpenRequests(MAX_CONNECTIONS - 3);
+    assertTrue(registry.add(ScriptedConnection.withOpenRequest()));
+    assertNull(awaited.closeReason);
+    assertTrue(later.closing);
+  }
+
   @Test
   void theConnectionIdleLongestIsEvicted() {
     ScriptedConnection later = ScriptedConnection.idleSince(9);
