--- a/emulator/src/main/java/merlinrouter/emulator/fleet/Fleet.java
+++ b/emulator/src/main/java/merlinrouter/emulator/fleet/Fleet.java
@@ -142,10 +142,22 @@
 
   /** Starts a node's process again, which has ended, with the endpoint list as it last had it. */
   public void startAgain(Node node) throws IOException {
-    node.process().configure(node.config().withKnownEndpoints(discovery.lastToldList()));
+    configure(node, discovery.address());
     node.process().start();
   }
 
+  /**
+   * Replaces a node's configuration file: discovery is at {@code discoveryAddress}, and the
+   * endpoint list is the one that the node can have been told last.
+   */
+  public void configure(Node node, String discoveryAddress) throws IOException {
+    node.process()
+        .configure(
+            node.config()
+                .withDiscoveryAddress(discoveryAddress)
+                .withKnownEndpoints(discovery.lastToldList()));
+  }
+
   /** Discovery. */
   public DiscoveryServer discovery() {
     return discovery;
--- a/emulator/src/main/java/merlinrouter/emulator/soak/ProcessFaultInjector.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/ProcessFaultInjector.java
@@ -122,8 +122,7 @@
     log.begins(ProcessFaultKind.RELOADED_BY_SERIES, node.name() + " " + reloads + " times");
     List<String> addresses = List.of(fleet.discovery().address(), fleet.secondDiscoveryAddress());
     for (int i = 0; i < reloads; i++) {
-      NodeConfig changed = node.config().withDiscoveryAddress(addresses.get(draws.nextInt(2)));
-      node.process().configure(changed);
+      fleet.configure(node, addresses.get(draws.nextInt(addresses.size())));
       restarter.reload(node);
       Thread.sleep(draws.nextLong(MAX_RELOAD_GAP_MILLIS));
     }
