--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
@@ -40,8 +40,8 @@
   /**
    * Prepares a run.
    *
-   * @param folder where configuration and log files go; created if it does not exist
    * @param root the checkout with the built program
+   * @param folder where configuration and log files go; created if it does not exist
    * @param seed determines the faults and the clients' choices
    */
   SoakRun(Path root, Path folder, long seed, SoakSettings settings) throws IOException {
