--- a/emulator/src/main/java/merlinrouter/emulator/fleet/Fleet.java
+++ b/emulator/src/main/java/merlinrouter/emulator/fleet/Fleet.java
@@ -148,14 +148,14 @@
 
   /**
    * Replaces a node's configuration file: discovery is at {@code discoveryAddress}, and the
-   * endpoint list is the one that the node can have been told last.
+   * endpoint list is the one that the node can have received last.
    */
   public void configure(Node node, String discoveryAddress) throws IOException {
     node.process()
         .configure(
             node.config()
                 .withDiscoveryAddress(discoveryAddress)
-                .withKnownEndpoints(discovery.lastToldList()));
+                .withKnownEndpoints(discovery.lastSentList()));
   }
 
   /** Discovery. */
--- a/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
+++ b/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
@@ -20,8 +20,8 @@
   private long revision = 1;
   private boolean unresponsive;
 
-  /** The full list as of the last moment at which it could be told. */
-  private String lastToldList = "";
+  /** The full list as of the last moment at which it could be sent. */
+  private String lastSentList = "";
 
   /** Starts the server with an empty list. */
   public DiscoveryServer() throws IOException {
@@ -38,18 +38,18 @@
   /** While unresponsive it accepts connections and sends nothing, on open watches neither. */
   public synchronized void setUnresponsive(boolean unresponsive) {
     if (unresponsive && !this.unresponsive) {
-      lastToldList = fullList();
+      lastSentList = fullList();
     }
     this.unresponsive = unresponsive;
     notifyAll();
   }
 
   /**
-   * The full list as JSON that a node can have been told last: the present one, or while
+   * The full list as JSON that a node can have received last: the present one, or while
    * unresponsive the one from before.
    */
-  public synchronized String lastToldList() {
-    return unresponsive ? lastToldList : fullList();
+  public synchronized String lastSentList() {
+    return unresponsive ? lastSentList : fullList();
   }
 
   /** The full list as JSON, without removed endpoints. */
--- a/src/main/java/merlinrouter/node/transport/ChannelClosingEventLoop.java
+++ b/src/main/java/merlinrouter/node/transport/ChannelClosingEventLoop.java
@@ -8,8 +8,8 @@
 /**
  * An event loop that has closed all its channels when it terminates.
  *
- * <p>Netty's own looks for a requested shutdown before it runs its tasks, and closes its channels
- * then; it looks again behind the tasks, and ends. A shutdown without a quiet period that is
+ * <p>Netty's own checks for a requested shutdown before it runs its tasks, and closes its channels
+ * then; it checks again behind the tasks, and ends. A shutdown without a quiet period that is
  * requested in between ends the loop with its channels open, and their file descriptors stay open
  * as long as the process runs.
  */
