Say at the start that SIGHUP is ignored and the node cannot reload

A JVM that inherits SIGHUP as ignored, as under nohup, installs no handler: the node never reloaded and said nothing. Signal.handle returns the ignoring handler then, and the start prints one line. The test failed before: no such line in 60 s. It passes now, as do DeploymentTest and ShutdownRaceTest.

--- a/src/main/java/merlinrouter/node/lifecycle/NodeProcess.java
+++ b/src/main/java/merlinrouter/node/lifecycle/NodeProcess.java
@@ -61,7 +61,9 @@
    * @throws Exception if the node cannot start for another reason
    */
   public void start() throws Exception {
-    HangupSignal.handle(this::hangUp);
+    if (!HangupSignal.handle(this::hangUp)) {
+      System.err.println("SIGHUP is ignored by whatever started this process: no reload");
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(this::shutDown, "shutdown"));
     warmUp();
     EdgeNode node = createNode();
--- a/src/test/java/merlinrouter/node/ReloadTest.java
+++ b/src/test/java/merlinrouter/node/ReloadTest.java
@@ -70,4 +70,19 @@
     newDiscovery.awaitRequest();
     assertEquals(0, process.terminate());
   }
+
+  /** A JVM that inherits SIGHUP as ignored, as under nohup, can never reload. */
+  @Test
+  void startWithHangupIgnoredSaysSo() throws Exception {
+    Path file = folder.resolve("config.json");
+    Files.writeString(file, configJson());
+    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    NodeProcess process =
+        NodeProcess.startScript(
+            "trap '' HUP; exec " + java + " -cp \"$CLASSES\" merlinrouter.Main serve", file);
+    resources.add(process);
+    process.awaitLine(NodeProcess.HANGUP_IGNORED);
+    process.awaitServing();
+    assertEquals(0, process.terminate());
+  }
 }
