Notice refused Unix sockets before a warm-up is prepared

The start now connects to itself once, which tells, and goes on without a warm-up. WarmUpTest and ReloadTest pass.

--- a/src/main/java/merlinrouter/node/warmup/WarmUp.java
+++ b/src/main/java/merlinrouter/node/warmup/WarmUp.java
@@ -57,6 +57,10 @@
    * @return how many requests were served; 0 if the warm-up failed
    */
   public static int run(NodeConfig config, int minRequests, long maxMillis, Path parent) {
+    if (!UnixSockets.areUsable(parent)) {
+      System.err.println("no warm-up: Unix sockets are refused");
+      return 0;
+    }
     try (WarmUp warmUp = new WarmUp(config, minRequests, parent)) {
       return warmUp.handleRequests(maxMillis);
     } catch (Exception e) {
