Simulate a fleet's quotas on one counter, against exact token buckets

A fleet of quota managers on one counter of bounded capacity and with delay, in simulated time; each forwarded request is held against an exact bucket of its customer.

--- /dev/null
+++ b/src/test/java/merlinrouter/quota/CustomerPopulation.java
@@ -0,0 +1,70 @@
+package merlinrouter.quota;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.DoubleUnaryOperator;
+import merlinrouter.quota.SimulatedQuotaFleet.Customer;
+import merlinrouter.settings.QuotaPlan;
+
+/** Customers of four plans: most use a part of their quota, some nearly all, some far more. */
+final class CustomerPopulation {
+  /** The plans, small quotas first; what is forwarded beyond them costs about its value. */
+  static final List<QuotaPlan> PLANS =
+      List.of(
+          new QuotaPlan(0.42, 2, 0, 0.45, 0, 1.2, 0, 0, 0),
+          new QuotaPlan(0.96, 4, 0, 0.72, 0, 1.2, 0, 0, 0),
+          new QuotaPlan(2.4, 3, 0, 1.1, 0, 1.0, 0, 0, 0),
+          new QuotaPlan(7, 13, 0, 1.6, 0, 0.5, 0, 0, 0));
+
+  /** Customers of each plan for each gateway. */
+  private static final double[] CUSTOMERS_PER_GATEWAY = {5, 1.5, 0.55, 0.25};
+
+  private static final double CALM_USE = 0.31;
+  private static final double HEAVY_FRACTION = 0.075;
+  private static final double BURSTY_FRACTION = 0.16;
+  private static final double FULL_FRACTION = 0.27;
+  private static final double BURST_INTERVAL_SECONDS = 11;
+
+  private CustomerPopulation() {}
+
+  static List<Customer> mixed(int gatewayCount, long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    List<Customer> customers = new ArrayList<>();
+    for (int plan = 0; plan < PLANS.size(); plan++) {
+      for (int i = 0; i < CUSTOMERS_PER_GATEWAY[plan] * gatewayCount; i++) {
+        customers.add(new Customer(plan, use(random, PLANS.get(plan).unitsPerSecond())));
+      }
+    }
+    return customers;
+  }
+
+  private static DoubleUnaryOperator use(SplittableRandom random, double unitsPerSecond) {
+    double kind = random.nextDouble();
+    double deviation = random.nextDouble(0.8, 1.2);
+    if (kind < HEAVY_FRACTION) {
+      return steady(random.nextDouble(2.3, 4.2) * unitsPerSecond);
+    }
+    if (kind < HEAVY_FRACTION + BURSTY_FRACTION) {
+      return bursts(random, random.nextDouble(3, 7.8) * unitsPerSecond, CALM_USE * unitsPerSecond);
+    }
+    boolean full = kind < HEAVY_FRACTION + BURSTY_FRACTION + FULL_FRACTION;
+    return steady((full ? 0.95 : CALM_USE) * deviation * unitsPerSecond);
+  }
+
+  /** A customer who always asks at one rate. */
+  static DoubleUnaryOperator steady(double unitsPerSecond) {
+    return seconds -> unitsPerSecond;
+  }
+
+  /** A customer who asks at a higher rate for a few seconds now and then. */
+  static DoubleUnaryOperator bursts(
+      SplittableRandom random, double burstUnitsPerSecond, double otherUnitsPerSecond) {
+    double burstSeconds = random.nextDouble(1, 4.9);
+    double phaseSeconds = random.nextDouble() * BURST_INTERVAL_SECONDS;
+    return seconds ->
+        (seconds + phaseSeconds) % BURST_INTERVAL_SECONDS < burstSeconds
+            ? burstUnitsPerSecond
+            : otherUnitsPerSecond;
+  }
+}
--- /dev/null
+++ b/src/test/java/merlinrouter/quota/SimulatedCounter.java
@@ -0,0 +1,120 @@
+package merlinrouter.quota;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import merlinrouter.model.Outcome;
+import merlinrouter.time.Nanos;
+
+/** A shared counter of bounded capacity: its parts serve calls in turn, each at a steady rate. */
+final class SimulatedCounter {
+  /** Takes the end of a call. */
+  interface Caller {
+    void callEnded(Outcome outcome, double total);
+  }
+
+  /** How a counter behaves while it does not serve. */
+  enum State {
+    SERVING,
+    SILENT
+  }
+
+  /** Mean time from a gateway to the counter or back; most of it is the gateway's own. */
+  private static final double ONE_WAY_MEAN_NANOS = 6.0 * Nanos.PER_MILLI;
+
+  private static final long RANDOM_SEED = 11;
+
+  private final SplittableRandom random = new SplittableRandom(RANDOM_SEED);
+  private final EventQueue events;
+  private final long serviceNanos;
+  private final long queueNanos;
+  private final long timeoutNanos;
+  private final long[] busyUntilNanos;
+  private final Map<Long, Double> totals = new HashMap<>();
+  private State state = State.SERVING;
+  private long calls;
+  private long unanswered;
+
+  /**
+   * Creates a counter without any totals.
+   *
+   * @param callsPerSecond what all parts serve together
+   * @param timeoutNanos when a caller gives a call up; it is counted all the same
+   */
+  SimulatedCounter(EventQueue events, double callsPerSecond, int parts, long timeoutNanos) {
+    this.events = events;
+    this.timeoutNanos = timeoutNanos;
+    serviceNanos = (long) (parts * Nanos.PER_SECOND / callsPerSecond);
+    queueNanos = 2 * timeoutNanos;
+    busyUntilNanos = new long[parts];
+  }
+
+  void setState(State newState) {
+    state = newState;
+  }
+
+  void loseTotals() {
+    totals.clear();
+  }
+
+  long calls() {
+    return calls;
+  }
+
+  long unanswered() {
+    return unanswered;
+  }
+
+  /** A gateway's connection, on which calls arrive and are answered in their order. */
+  final class Connection {
+    private long lastArrivalNanos;
+    private long lastAnswerNanos;
+
+    /** Makes a call; its end is reported in any case. */
+    void add(long key, double units, Caller caller) {
+      calls++;
+      long sentNanos = events.nowNanos();
+      lastArrivalNanos = Math.max(lastArrivalNanos, sentNanos + oneWayNanos());
+      events.at(lastArrivalNanos, () -> arrived(key, units, sentNanos, caller));
+    }
+
+    private void arrived(long key, double units, long sentNanos, Caller caller) {
+      int part = (int) Math.floorMod(key, (long) busyUntilNanos.length);
+      long startNanos = Math.max(events.nowNanos(), busyUntilNanos[part]);
+      if (state == State.SILENT) {
+        timeOut(sentNanos, caller);
+      } else if (startNanos - events.nowNanos() > queueNanos) {
+        unanswered++;
+        answer(() -> caller.callEnded(Outcome.REJECTED, 0));
+      } else {
+        busyUntilNanos[part] = startNanos + serviceNanos;
+        events.at(busyUntilNanos[part], () -> served(key, units, sentNanos, caller));
+      }
+    }
+
+    private void served(long key, double units, long sentNanos, Caller caller) {
+      double total = totals.merge(key, units, Double::sum);
+      if (Math.max(lastAnswerNanos, events.nowNanos()) - sentNanos > timeoutNanos) {
+        timeOut(sentNanos, caller);
+      } else {
+        answer(() -> caller.callEnded(Outcome.OK, total));
+      }
+    }
+
+    private void answer(Runnable end) {
+      lastAnswerNanos = Math.max(lastAnswerNanos, events.nowNanos() + oneWayNanos());
+      events.at(lastAnswerNanos, end);
+    }
+
+    private void timeOut(long sentNanos, Caller caller) {
+      unanswered++;
+      lastAnswerNanos =
+          Math.max(lastAnswerNanos, Math.max(events.nowNanos(), sentNanos + timeoutNanos));
+      events.at(lastAnswerNanos, () -> caller.callEnded(Outcome.TIMEOUT, 0));
+    }
+  }
+
+  private long oneWayNanos() {
+    return (long) (ONE_WAY_MEAN_NANOS / 2 * (1 - Math.log(1 - random.nextDouble())));
+  }
+}
