Let the rate of calls to the quota counter grow fast until a call is slow

Cause: the rate starts at 200 a second for the whole fleet and grows by e a second at best; calls take 13 ms at an idle counter, most of it the node's own time, so that it grew by less.

The rate grows six times as fast while no call was slow or unanswered, by the calls that take at most three quarters of the target; answers within the first second say nothing of the counter, since the gateway is starting. Then all is as before. The new test failed before: 10 calls a second where 40 are due.

--- a/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
+++ b/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
@@ -31,6 +31,15 @@
    */
   private static final double GAIN_PER_SECOND = 1;
 
+  /** The same in slow start, which ends with the first slow call. */
+  private static final double SLOW_START_GAIN_PER_SECOND = 6;
+
+  /** It grows with the calls that take no more than three quarters of the target. */
+  private static final double SLOW_START_MIN_DEVIATION = 0.25;
+
+  /** In this time the gateway's own start delays calls, which says nothing of the counter. */
+  private static final long STARTUP_NANOS = Nanos.PER_SECOND;
+
   /** The rate is steady where calls take this fraction of their timeout. */
   private static final double TARGET_TIMEOUT_FRACTION = 0.5;
 
@@ -62,6 +71,8 @@
   private long refilledAtNanos;
   private long adjustedAtNanos;
   private boolean deniedSinceAdjustment;
+  private final long startedAtNanos;
+  private boolean slowStart = true;
   private double meanPriority;
 
   CounterCallRateLimiter(
@@ -73,7 +84,8 @@
     callsPerSecond = initialCallsPerSecond;
     // Gateways that start together must not call together.
     tokens = random.nextDouble(callsPerSecond);
-    refilledAtNanos = clock.nowNanos();
+    startedAtNanos = clock.nowNanos();
+    refilledAtNanos = startedAtNanos;
   }
 
   /** Returns a priority relative to the mean of all so far, to which it is added first. */
@@ -84,11 +96,7 @@
 
   /** Takes a token for a call with a relative priority; false if it must not be made. */
   boolean tryAcquire(double relativePriority) {
-    double rate = health.isSilent() ? SILENT_CALLS_PER_SECOND : callsPerSecond;
-    double capacity = Math.max(MIN_CAPACITY_CALLS, rate * BURST_NANOS * Nanos.IN_SECONDS);
-    double refill = rate * clock.nanosSince(refilledAtNanos) * Nanos.IN_SECONDS;
-    tokens = Math.min(capacity, tokens + refill);
-    refilledAtNanos = clock.nowNanos();
+    double capacity = refill();
     double requiredPriority = MAX_REQUIRED_PRIORITY * (1 - tokens / capacity);
     if (tokens >= 1 && relativePriority >= requiredPriority) {
       tokens--;
@@ -98,6 +106,22 @@
     return false;
   }
 
+  /** Takes a token for a call that has to be made, even if none is left. */
+  void acquire() {
+    refill();
+    tokens--;
+  }
+
+  /** Adds the tokens of the time since the last refill; returns how many may be saved. */
+  private double refill() {
+    double rate = health.isSilent() ? SILENT_CALLS_PER_SECOND : callsPerSecond;
+    double capacity = Math.max(MIN_CAPACITY_CALLS, rate * BURST_NANOS * Nanos.IN_SECONDS);
+    double refill = rate * clock.nanosSince(refilledAtNanos) * Nanos.IN_SECONDS;
+    tokens = Math.min(capacity, tokens + refill);
+    refilledAtNanos = clock.nowNanos();
+    return capacity;
+  }
+
   /**
    * Adapts the rate to a call that ended. A connection that broke says nothing of the counter's
    * load. The rate rises only where it has kept calls back.
@@ -108,7 +132,9 @@
         outcome == Outcome.REJECTED
             ? REJECTED_TIMEOUT_FRACTION
             : durationNanos / (double) timeoutNanos;
-    if (timeoutFraction > TARGET_TIMEOUT_FRACTION || answered && deniedSinceAdjustment) {
+    boolean starting = answered && clock.nanosSince(startedAtNanos) < STARTUP_NANOS;
+    boolean slow = timeoutFraction > TARGET_TIMEOUT_FRACTION;
+    if (!starting && (slow || answered && deniedSinceAdjustment)) {
       adjust(timeoutFraction, answered);
     }
   }
@@ -119,7 +145,10 @@
     double deviation = Math.max(-MAX_SLOWDOWN, 1 - timeoutFraction / TARGET_TIMEOUT_FRACTION);
     double min =
         answered ? initialCallsPerSecond * MIN_ANSWERED_FRACTION : MIN_UNANSWERED_CALLS_PER_SECOND;
-    callsPerSecond *= Math.exp(GAIN_PER_SECOND * seconds * deviation);
+    slowStart &= answered && deviation >= 0;
+    boolean fast = deviation >= SLOW_START_MIN_DEVIATION;
+    double gainPerSecond = slowStart && fast ? SLOW_START_GAIN_PER_SECOND : GAIN_PER_SECOND;
+    callsPerSecond *= Math.exp(gainPerSecond * seconds * deviation);
     callsPerSecond = Math.max(min, callsPerSecond);
     deniedSinceAdjustment = false;
     adjustedAtNanos = clock.nowNanos();
--- a/src/test/java/merlinrouter/quota/CounterCallRateLimiterTest.java
+++ b/src/test/java/merlinrouter/quota/CounterCallRateLimiterTest.java
@@ -82,4 +82,23 @@
     callsIn(10);
     assertEquals(20, callsIn(20), 1);
   }
+
+  @Test
+  void theRateGrowsFastUntilACallIsSlow() {
+    callsIn(2);
+    for (int i = 0; i < 8; i++) {
+      clock.advanceTo(clock.nowNanos() + PER_SECOND / 4);
+      limiter.tryAcquire(0);
+      callsIn(1);
+      limiter.callEnded(Outcome.OK, 5 * PER_MILLI, 50 * PER_MILLI);
+    }
+    int fast = callsIn(1);
+    assertTrue(fast >= 40, fast + " calls a second");
+    limiter.callEnded(Outcome.OK, 30 * PER_MILLI, 50 * PER_MILLI);
+    int before = callsIn(1);
+    callsIn(1);
+    limiter.callEnded(Outcome.OK, 5 * PER_MILLI, 50 * PER_MILLI);
+    int after = callsIn(1);
+    assertTrue(after <= 1.3 * before, after + " calls a second after " + before);
+  }
 }
