Prefer calls for unknown customers to calls that confirm a rejection

A call before the decision has a tenth of the priority where a total that is not older than a window, with the projection since, says that the quota is used up; nothing is refused without a call for it where calls are plenty. The priority is a class of its own now.

--- /dev/null
+++ b/src/main/java/merlinrouter/quota/CounterCallPriority.java
@@ -0,0 +1,45 @@
+package merlinrouter.quota;
+
+import merlinrouter.settings.QuotaPlan;
+
+/**
+ * Priority of a call to the counter before a decision on a customer's request: what a wrong
+ * decision would cost.
+ */
+final class CounterCallPriority {
+  /** A retry follows a rejection, so the total that it needs is known better. */
+  private static final double RETRY_FACTOR = 0.3;
+
+  /** Where a total would probably confirm a rejection it is worth less. */
+  private static final double USED_UP_FACTOR = 0.1;
+
+  private final QuotaPlan plan;
+  private final double gatewayFraction;
+
+  /**
+   * Creates the priorities of a customer.
+   *
+   * @param gateways how many gateways the customer's requests come through: the more, the less this
+   *     gateway's traffic says of the customer's
+   * @param gatewayCount how many gateways the fleet has
+   */
+  CounterCallPriority(QuotaPlan plan, int gateways, int gatewayCount) {
+    this.plan = plan;
+    gatewayFraction = gateways / (double) gatewayCount;
+  }
+
+  /**
+   * The priority for a request.
+   *
+   * @param probablyUsedUp whether the estimate says that the quota is used up
+   */
+  double of(QuotaReservation reservation, boolean probablyUsedUp) {
+    return reservation.requestClass().priorityWeight()
+        * plan.valueFactor()
+        * plan.overQuotaCost()
+        * reservation.units()
+        * gatewayFraction
+        * (reservation.request().retry() ? RETRY_FACTOR : 1)
+        * (probablyUsedUp ? USED_UP_FACTOR : 1);
+  }
+}
--- a/src/main/java/merlinrouter/quota/FleetQuotaEstimate.java
+++ b/src/main/java/merlinrouter/quota/FleetQuotaEstimate.java
@@ -182,7 +182,7 @@
    * request, since a smaller part would reject all requests of customers with little traffic.
    */
   void divideIfStale() {
-    if (gateways <= 1 || clock.nanosSince(totalAtNanos) <= windowNanos) {
+    if (gateways <= 1 || isReliable()) {
       return;
     }
     if (!divided && availableUnits > 0) {
@@ -197,6 +197,11 @@
     return divided;
   }
 
+  /** Whether the last total still says something of what is left. */
+  boolean isReliable() {
+    return clock.nanosSince(totalAtNanos) <= windowNanos;
+  }
+
   /** Whether the last total is so old that a new one is needed for a reliable decision. */
   boolean needsTotal() {
     return clock.nanosSince(totalAtNanos) > windowNanos / TOTALS_PER_WINDOW;
--- a/src/main/java/merlinrouter/quota/QuotaAccount.java
+++ b/src/main/java/merlinrouter/quota/QuotaAccount.java
@@ -33,9 +33,6 @@
   /** Time for a call to the counter, in its timeouts, that has to be left to the objective. */
   private static final int CALL_TIMEOUTS_NEEDED = 2;
 
-  /** A retry follows a rejection, so the total that it needs is known better. */
-  private static final double RETRY_PRIORITY_FACTOR = 0.3;
-
   /** Unreported use misleads the others as much as a missing total, but can wait. */
   private static final double REPORT_PRIORITY_FACTOR = 0.5;
 
@@ -46,6 +43,7 @@
   private final PlanUsage planUsage;
   private final int gateways;
   private final boolean sharesCounter;
+  private final CounterCallPriority callPriority;
   private final FleetQuotaEstimate estimate;
   private final HardLimitBucket hardLimit;
   private long refilledAtNanos;
@@ -66,6 +64,7 @@
     plan = settings.quotaPlans().get(firstRequest.planIndex());
     gateways = Math.max(1, Math.min(firstRequest.gatewaySpread(), settings.gatewayCount()));
     sharesCounter = gateways > 1 && settings.counter().present();
+    callPriority = new CounterCallPriority(plan, gateways, settings.gatewayCount());
     estimate =
         new FleetQuotaEstimate(
             plan, gateways, settings.counter().maxRequestUnits(), spread(key), clock);
@@ -98,7 +97,8 @@
     hardLimit.take(units);
     take(units);
     reservation.setState(QuotaReservation.State.UNDECIDED);
-    double priority = context.calls().normalizePriority(callPriority(reservation));
+    double priority =
+        context.calls().normalizePriority(callPriority.of(reservation, isProbablyUsedUp()));
     reportPriority = priority * REPORT_PRIORITY_FACTOR;
     if (wantsTotal() && canWaitForCounter(reservation) && context.calls().tryAcquire(priority)) {
       reservation.setState(QuotaReservation.State.AWAITING_COUNTER);
@@ -128,18 +128,9 @@
     return clock.nowNanos() + neededNanos < reservation.objectiveAtNanos();
   }
 
-  /**
-   * Priority of a call before the decision: what a wrong one would cost. It is higher for a
-   * customer who comes through many gateways, since this one's traffic says less of the customer's.
-   */
-  private double callPriority(QuotaReservation reservation) {
-    return reservation.requestClass().priorityWeight()
-        * plan.valueFactor()
-        * plan.overQuotaCost()
-        * reservation.units()
-        * gateways
-        / context.settings().gatewayCount()
-        * (reservation.request().retry() ? RETRY_PRIORITY_FACTOR : 1);
+  /** Whether a recent total and the projection since say that the quota is used up. */
+  private boolean isProbablyUsedUp() {
+    return estimate.isReliable() && estimate.availableUnits() < 0;
   }
 
   private void decideWithoutTotal(QuotaReservation reservation) {
