Report at once that the units of a rejected request are given back

A call before a decision reports the request's units, and the total decides. Where it rejects, the units were given back with the next report, up to a second later: until then every other gateway took them for use. They are due at the next turn of the timer now, within the rate of calls.

--- a/src/main/java/merlinrouter/quota/QuotaAccount.java
+++ b/src/main/java/merlinrouter/quota/QuotaAccount.java
@@ -250,6 +250,10 @@
       context.listener().abandoned(reservation);
     } else if (answered) {
       decide(reservation, estimate.availableUnits() >= 0);
+      if (reservation.state() == QuotaReservation.State.BEYOND_QUOTA) {
+        // The others take what was reported for it for use until it is given back.
+        reportDueAtNanos = clock.nowNanos();
+      }
     } else {
       estimate.divideIfStale();
       decide(reservation, isMoreLeftThanOthersMayUse());
