Read a node's limits and deadlines from the emulator's template in place of repeating them

NodeConfig named the template's descriptors and longest deadline a second time; NodeTemplate reads both. The emulator's tests of configurations, settings and signals pass.

--- a/emulator/src/main/java/merlinrouter/emulator/fleet/NodeConfig.java
+++ b/emulator/src/main/java/merlinrouter/emulator/fleet/NodeConfig.java
@@ -3,11 +3,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.io.InputStream;
-import java.time.Duration;
 
 /**
- * What a node's configuration file says beyond the template {@code node.json}.
+ * What a node's configuration file says beyond the {@link NodeTemplate}.
  *
  * @param gatewayNumber the node's number among all gateways, from 0
  * @param gatewayCount how many gateways there are
@@ -24,13 +22,6 @@
     String counterAddress,
     String knownEndpoints) {
   private static final ObjectMapper JSON = new ObjectMapper();
-  private static final String TEMPLATE = "/node.json";
-
-  /** How many file descriptors a node may use, as the template says. */
-  public static final int MAX_SOCKETS = 1_024;
-
-  /** The longest deadline of the template's request classes. */
-  public static final Duration LONGEST_DEADLINE = Duration.ofMillis(2_500);
 
   /** Multiplied with a node's number to get its seed: 2^64 divided by the golden ratio. */
   private static final long SEED_STEP = 0x9e3779b97f4a7c15L;
@@ -64,18 +55,16 @@
 
   /** The configuration file's text. */
   String toJson() throws IOException {
-    try (InputStream template = NodeConfig.class.getResourceAsStream(TEMPLATE)) {
-      ObjectNode root = (ObjectNode) JSON.readTree(template);
-      root.put(NAME, nodeName(gatewayNumber))
-          .put(LISTEN_ADDRESS, "127.0.0.1:" + port)
-          .put(DISCOVERY_ADDRESS, discoveryAddress)
-          .put(COUNTER_ADDRESS, counterAddress)
-          .put(SEED, String.format("%016x", SEED_STEP * (gatewayNumber + 1)));
-      root.set(KNOWN_ENDPOINTS, JSON.readTree(knownEndpoints));
-      ((ObjectNode) root.get(SETTINGS))
-          .put(GATEWAY_NUMBER, gatewayNumber)
-          .put(GATEWAY_COUNT, gatewayCount);
-      return root.toString();
-    }
+    ObjectNode root = NodeTemplate.copy();
+    root.put(NAME, nodeName(gatewayNumber))
+        .put(LISTEN_ADDRESS, "127.0.0.1:" + port)
+        .put(DISCOVERY_ADDRESS, discoveryAddress)
+        .put(COUNTER_ADDRESS, counterAddress)
+        .put(SEED, String.format("%016x", SEED_STEP * (gatewayNumber + 1)));
+    root.set(KNOWN_ENDPOINTS, JSON.readTree(knownEndpoints));
+    ((ObjectNode) root.get(SETTINGS))
+        .put(GATEWAY_NUMBER, gatewayNumber)
+        .put(GATEWAY_COUNT, gatewayCount);
+    return root.toString();
   }
 }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/ProcessFaultInjector.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/ProcessFaultInjector.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import merlinrouter.emulator.fleet.Fleet;
-import merlinrouter.emulator.fleet.NodeConfig;
+import merlinrouter.emulator.fleet.NodeTemplate;
 import merlinrouter.emulator.invariant.InvariantChecker;
 import merlinrouter.emulator.peer.BackgroundThreads;
 
@@ -150,7 +150,7 @@
             + outageMillis
             + " ms");
     long cameAtNanos = System.nanoTime();
-    try (Crowd crowd = new Crowd(node.process().port(), NodeConfig.MAX_SOCKETS)) {
+    try (Crowd crowd = new Crowd(node.process().port(), NodeTemplate.maxSockets())) {
       crowd.start();
       Thread.sleep(CROWD_MARGIN_MILLIS);
       otherFaults.interruptDiscovery(outageMillis);
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakSettings.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakSettings.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
-import merlinrouter.emulator.fleet.NodeConfig;
+import merlinrouter.emulator.fleet.NodeTemplate;
 
 /**
  * What a soak test plays.
@@ -33,10 +33,9 @@
 
   /** How long after SIGTERM a process that has not ended is killed. */
   Duration killDelay() {
-    boolean isShorter = NodeConfig.LONGEST_DEADLINE.compareTo(MAX_LONGEST_DEADLINE) < 0;
-    Duration longestDeadline =
-        hard && isShorter ? NodeConfig.LONGEST_DEADLINE : MAX_LONGEST_DEADLINE;
-    return longestDeadline.plus(KILL_MARGIN);
+    Duration configured = NodeTemplate.longestDeadline();
+    boolean isShorter = configured.compareTo(MAX_LONGEST_DEADLINE) < 0;
+    return (hard && isShorter ? configured : MAX_LONGEST_DEADLINE).plus(KILL_MARGIN);
   }
 
   /** The kinds of faults of whole processes that a seed plays. */
