Measure the emulator's lateness by observer, and excuse a late time by no more than it

Two known failures rested on "taken for the emulator's lateness". Each upstream server and each node's clients now have a thread that waits 5 ms at a time and records when it ran late. A violation that a time alone shows carries by how much it exceeded its limit and whose time it is; it is inconclusive only if that observer was late, in one span within the request, by at least as much, and is printed with the measured lateness. Anything else is a violation: before, 25 ms of one thread's stalls excused all of a request's violations. More than 1 % inconclusive requests give no verdict, exit status 3. The servers have a thread for each connection, so the time between readable and read of a single connection is not seen.

LatenessMonitorTest: a late node beside a punctual server is a violation, the reverse is inconclusive.

--- a/emulator/src/main/java/merlinrouter/emulator/Main.java
+++ b/emulator/src/main/java/merlinrouter/emulator/Main.java
@@ -13,7 +13,10 @@
 public final class Main {
   private Main() {}
 
-  /** Runs a command: 0 if it passed, 1 if it found a violation, 2 for a bad command line. */
+  /**
+   * Runs a command: 0 if it passed, 1 if it found a violation, 2 for a bad command line, 3 if the
+   * emulator was too late to tell.
+   */
   public static void main(String[] args) {
     System.exit(commandLine().execute(args));
   }
--- a/emulator/src/main/java/merlinrouter/emulator/invariant/InvariantChecker.java
+++ b/emulator/src/main/java/merlinrouter/emulator/invariant/InvariantChecker.java
@@ -126,10 +126,12 @@
   private void checkIncompleteRequest(RequestRecord request, List<Violation> violations) {
     boolean served = request.status() == STATUS_OK || !request.attempts().isEmpty();
     boolean notEnded = request.outcome() == ClientOutcome.NO_RESPONSE;
-    boolean late = latencyNanos(request) > MAX_INCOMPLETE_REQUEST_NANOS + emulatorDelayNanos;
-    if (served || notEnded || late) {
+    if (served || notEnded) {
       violations.add(violation(Invariant.INCOMPLETE_REQUEST_ENDED, request));
+      return;
     }
+    checkLatency(
+        Invariant.INCOMPLETE_REQUEST_ENDED, request, MAX_INCOMPLETE_REQUEST_NANOS, violations);
   }
 
   private void checkEnd(RequestRecord request, List<Violation> violations) {
@@ -159,35 +161,70 @@
 
   private void checkResponse(RequestRecord request, List<Violation> violations) {
     long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(request.timeoutMillis());
-    long maxLatencyNanos = timeoutNanos + MAX_LATE_RESPONSE_NANOS + emulatorDelayNanos;
-    if (latencyNanos(request) > maxLatencyNanos) {
-      violations.add(violation(Invariant.RESPONSE_IN_TIME, request));
-    }
+    long maxLatencyNanos = timeoutNanos + MAX_LATE_RESPONSE_NANOS;
+    checkLatency(Invariant.RESPONSE_IN_TIME, request, maxLatencyNanos, violations);
     if (request.status() == STATUS_OK && !request.body().equals(request.expectedBody())) {
       violations.add(
-          new Violation(Invariant.OWN_RESPONSE_ONLY, request + " received " + request.body()));
+          Violation.untimed(Invariant.OWN_RESPONSE_ONLY, request + " received " + request.body()));
+    }
+  }
+
+  /** Checks when the client saw the end of its request. */
+  private void checkLatency(
+      Invariant invariant, RequestRecord request, long maxNanos, List<Violation> violations) {
+    long excessNanos = latencyNanos(request) - maxNanos - emulatorDelayNanos;
+    if (excessNanos > 0) {
+      violations.add(new Violation(invariant, request.toString(), request.nodeName(), excessNanos));
     }
   }
 
   private void checkAttempt(RequestRecord request, Attempt attempt, List<Violation> violations) {
     long receivedAtNanos = attempt.receivedAtNanos();
-    if (request.hasEnded()
-        && receivedAtNanos - request.endedAtNanos()
-            > MAX_ATTEMPT_AFTER_END_NANOS + emulatorDelayNanos) {
-      violations.add(violation(Invariant.NO_ATTEMPT_AFTER_END, request));
+    if (request.hasEnded()) {
+      long afterEndNanos = receivedAtNanos - request.endedAtNanos();
+      checkReceived(
+          Invariant.NO_ATTEMPT_AFTER_END,
+          request,
+          attempt,
+          afterEndNanos - MAX_ATTEMPT_AFTER_END_NANOS,
+          violations);
     }
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(receivedAtNanos - request.sentAtNanos());
     long remainingMillis = request.timeoutMillis() - elapsedMillis;
-    long slackMillis =
-        MAX_EXCESS_TIMEOUT_MILLIS + TimeUnit.NANOSECONDS.toMillis(emulatorDelayNanos);
-    if (attempt.forwardedTimeoutMillis() > remainingMillis + slackMillis) {
-      violations.add(violation(Invariant.FORWARDED_TIMEOUT_WITHIN_DEADLINE, request));
-    }
+    long excessMillis =
+        attempt.forwardedTimeoutMillis() - remainingMillis - MAX_EXCESS_TIMEOUT_MILLIS;
+    checkReceived(
+        Invariant.FORWARDED_TIMEOUT_WITHIN_DEADLINE,
+        request,
+        attempt,
+        TimeUnit.MILLISECONDS.toNanos(excessMillis),
+        violations);
     Long publishedAtNanos = drainingPublishedAtNanos.get(attempt.endpointId());
-    if (publishedAtNanos != null
-        && receivedAtNanos - publishedAtNanos
-            > MAX_DISCOVERY_DELAY_NANOS + DRAIN_GRACE_NANOS + emulatorDelayNanos) {
-      violations.add(violation(Invariant.NOT_FORWARDED_TO_DRAINING, request));
+    if (publishedAtNanos != null) {
+      long afterPublishedNanos = receivedAtNanos - publishedAtNanos;
+      checkReceived(
+          Invariant.NOT_FORWARDED_TO_DRAINING,
+          request,
+          attempt,
+          afterPublishedNanos - MAX_DISCOVERY_DELAY_NANOS - DRAIN_GRACE_NANOS,
+          violations);
+    }
+  }
+
+  /** Checks by how much the receipt of an attempt exceeded a limit, before the allowance. */
+  private void checkReceived(
+      Invariant invariant,
+      RequestRecord request,
+      Attempt attempt,
+      long excessNanos,
+      List<Violation> violations) {
+    if (excessNanos > emulatorDelayNanos) {
+      violations.add(
+          new Violation(
+              invariant,
+              request.toString(),
+              attempt.endpointId(),
+              excessNanos - emulatorDelayNanos));
     }
   }
 
@@ -196,6 +233,6 @@
   }
 
   private static Violation violation(Invariant invariant, RequestRecord request) {
-    return new Violation(invariant, request.toString());
+    return Violation.untimed(invariant, request.toString());
   }
 }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
@@ -4,14 +4,17 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.stream.Collectors;
 import merlinrouter.emulator.fleet.Fleet;
 import merlinrouter.emulator.invariant.Invariant;
 import merlinrouter.emulator.invariant.Violation;
+import merlinrouter.emulator.soak.SoakResult.Verdict;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -25,11 +28,13 @@
     description = {
       "Runs real node processes under steady traffic, injects overlapping random faults and checks"
           + " every request against the service's invariants.",
-      "Exit status: 0 if no invariant was violated, 1 if one was, 2 for a bad command line."
+      "Exit status: 0 if no invariant was violated, 1 if one was, 2 for a bad command line, 3 if"
+          + " none was but the emulator itself was late for over 1 % of the requests of a seed."
     })
 public final class SoakCommand implements Callable<Integer> {
   private static final int EXIT_PASSED = 0;
   private static final int EXIT_FAILED = 1;
+  private static final int EXIT_NO_VERDICT = 3;
   private static final int MAX_LINES = 20;
 
   @Option(
@@ -103,12 +108,15 @@
             emulatorDelayMillis,
             kinds,
             hard);
-    boolean passed = true;
+    Set<Verdict> verdicts = EnumSet.noneOf(Verdict.class);
     Path runsFolder = folder == null ? Files.createTempDirectory("soak") : folder;
     for (long seed = firstSeed; seed < firstSeed + seedCount; seed++) {
-      passed &= run(seed, runsFolder.resolve("seed-" + seed), settings);
+      verdicts.add(run(seed, runsFolder.resolve("seed-" + seed), settings));
     }
-    return passed ? EXIT_PASSED : EXIT_FAILED;
+    if (verdicts.contains(Verdict.FAILED)) {
+      return EXIT_FAILED;
+    }
+    return verdicts.contains(Verdict.NONE) ? EXIT_NO_VERDICT : EXIT_PASSED;
   }
 
   private void validate() {
@@ -132,21 +140,21 @@
     return new ParameterException(command.commandLine(), message);
   }
 
-  private boolean run(long seed, Path seedFolder, SoakSettings settings)
+  private Verdict run(long seed, Path seedFolder, SoakSettings settings)
       throws IOException, InterruptedException {
     try (SoakRun run = new SoakRun(root, seedFolder, seed, settings)) {
       SoakResult result = run.run();
       print(seed, seedFolder, result);
-      return result.passed();
+      return result.verdict();
     }
   }
 
   private static void print(long seed, Path seedFolder, SoakResult result) {
     System.out.printf(
-        "seed %d: %s %s, %d violations, %d inconclusive while the emulator was stalled,"
+        "seed %d: %s %s, %d violations, %d inconclusive while the emulator was late,"
             + " %d node faults, %d attempts with an unknown id, %d faults; logs in %s%n",
         seed,
-        result.passed() ? "passed" : "FAILED",
+        result.verdict(),
         result.requestsByOutcome(),
         result.violations().size(),
         result.inconclusive().size(),
@@ -159,7 +167,7 @@
     printFirst("  ", result.violations());
     printFirst("  inconclusive ", result.inconclusive());
     printFirst("  ", result.nodeFaults());
-    if (!result.passed()) {
+    if (result.verdict() == Verdict.FAILED) {
       result.faultLines().forEach(line -> System.out.println("  " + line));
     }
   }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
@@ -18,9 +18,6 @@
 
 /** One soak test: overlapping random faults over real node processes with steady traffic. */
 final class SoakRun implements AutoCloseable {
-  /** A request during which the emulator was stalled for longer than this proves nothing. */
-  private static final long MAX_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
-
   /** Start of the line by which a node reports that it would have violated an invariant. */
   private static final String VIOLATION_LOG_PREFIX = "invariant violated";
 
@@ -32,7 +29,7 @@
   private final SoakSettings settings;
   private final InvariantChecker checker;
   private final FaultLog faultLog;
-  private final StallMonitor stalls = new StallMonitor();
+  private final LatenessMonitor lateness = new LatenessMonitor();
   private final Timers timers = new Timers();
   private final Map<String, NodeTraffic> trafficByNodeName = new LinkedHashMap<>();
   private final List<NodeFault> nodeFaults = Collections.synchronizedList(new ArrayList<>());
@@ -54,8 +51,7 @@
 
   /** Injects faults for a time and checks all requests. */
   SoakResult run() throws IOException, InterruptedException {
-    stalls.start();
-    SoakUpstreams upstreams = new SoakUpstreams(fleet, checker, settings.upstreamCount());
+    SoakUpstreams upstreams = new SoakUpstreams(fleet, checker, lateness, settings.upstreamCount());
     try {
       fleet.startNodes(settings.nodeCount());
     } catch (IOException e) {
@@ -73,6 +69,7 @@
   private void startTraffic() {
     SplittableRandom random = new SplittableRandom(seed);
     for (Fleet.Node node : fleet.nodes()) {
+      lateness.watch(node.name());
       trafficByNodeName.put(node.name(), new NodeTraffic(node, fleet.requests(), random.split()));
     }
   }
@@ -109,15 +106,17 @@
     Map<String, Integer> requestsByOutcome = new TreeMap<>();
     List<Violation> violations = new ArrayList<>();
     List<Violation> inconclusive = new ArrayList<>();
+    int inconclusiveRequests = 0;
     for (RequestRecord request : fleet.requests().requests()) {
       requestsByOutcome.merge(outcome(request), 1, Integer::sum);
-      long stalledNanos = stalls.stalledNanos(request.sentAtNanos(), lastObservationNanos(request));
-      boolean conclusive = stalledNanos <= MAX_STALL_NANOS;
+      boolean unclear = false;
       for (Violation violation : checker.check(request)) {
-        String time = "sent at " + faultLog.millisSinceStart(request.sentAtNanos()) + " ms, ";
-        (conclusive ? violations : inconclusive)
-            .add(new Violation(violation.invariant(), time + violation.evidence()));
+        boolean explained =
+            lateness.mayExplain(violation, request.sentAtNanos(), lastObservationNanos(request));
+        (explained ? inconclusive : violations).add(withTimes(violation, request));
+        unclear |= explained;
       }
+      inconclusiveRequests += unclear ? 1 : 0;
     }
     for (Fleet.Node node : fleet.nodes()) {
       addReportedViolations(node);
@@ -126,12 +125,29 @@
         requestsByOutcome,
         violations,
         inconclusive,
+        inconclusiveRequests,
         List.copyOf(nodeFaults),
         fleet.requests().unknownAttempts(),
         faultLog.countsByKind(),
         faultLog.lines());
   }
 
+  private Violation withTimes(Violation violation, RequestRecord request) {
+    long sentMillis = faultLog.millisSinceStart(request.sentAtNanos());
+    if (!violation.isTimed()) {
+      return violation.withEvidence("sent at " + sentMillis + " ms, ");
+    }
+    long lateNanos =
+        lateness.latenessNanos(violation, request.sentAtNanos(), lastObservationNanos(request));
+    return violation.withEvidence(
+        String.format(
+            "sent at %d ms, %d ms over the limit by the time of %s, which was late by %d ms, ",
+            sentMillis,
+            TimeUnit.NANOSECONDS.toMillis(violation.excessNanos()),
+            violation.observer(),
+            TimeUnit.NANOSECONDS.toMillis(lateNanos)));
+  }
+
   private static String outcome(RequestRecord request) {
     return request.outcome() + (request.status() > 0 ? " " + request.status() : "");
   }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakUpstreams.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakUpstreams.java
@@ -26,12 +26,15 @@
 
   private final Fleet fleet;
   private final InvariantChecker checker;
+  private final LatenessMonitor lateness;
   private final List<Upstream> ready = new ArrayList<>();
 
   /** Starts upstream servers that are published as started long ago. */
-  SoakUpstreams(Fleet fleet, InvariantChecker checker, int count) throws IOException {
+  SoakUpstreams(Fleet fleet, InvariantChecker checker, LatenessMonitor lateness, int count)
+      throws IOException {
     this.fleet = fleet;
     this.checker = checker;
+    this.lateness = lateness;
     for (int i = 0; i < count; i++) {
       add(STARTED_LONG_AGO);
     }
@@ -42,6 +45,7 @@
     UpstreamServer server =
         fleet.addUpstream(
             requestId -> new Reaction(behavior.get(), RESPONSE_DELAY_MILLIS), startedAtUnixMillis);
+    lateness.watch(server.id());
     ready.add(new Upstream(server, behavior));
   }
 
