--- a/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
+++ b/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
@@ -96,7 +96,11 @@
 
   /** Takes a token for a call with a relative priority; false if it must not be made. */
   boolean tryAcquire(double relativePriority) {
-    double capacity = refill();
+    double rate = health.isSilent() ? SILENT_CALLS_PER_SECOND : callsPerSecond;
+    double capacity = Math.max(MIN_CAPACITY_CALLS, rate * BURST_NANOS * Nanos.IN_SECONDS);
+    double refill = rate * clock.nanosSince(refilledAtNanos) * Nanos.IN_SECONDS;
+    tokens = Math.min(capacity, tokens + refill);
+    refilledAtNanos = clock.nowNanos();
     double requiredPriority = MAX_REQUIRED_PRIORITY * (1 - tokens / capacity);
     if (tokens >= 1 && relativePriority >= requiredPriority) {
       tokens--;
@@ -106,22 +110,6 @@
     return false;
   }
 
-  /** Takes a token for a call that has to be made, even if none is left. */
-  void acquire() {
-    refill();
-    tokens--;
-  }
-
-  /** Adds the tokens of the time since the last refill; returns how many may be saved. */
-  private double refill() {
-    double rate = health.isSilent() ? SILENT_CALLS_PER_SECOND : callsPerSecond;
-    double capacity = Math.max(MIN_CAPACITY_CALLS, rate * BURST_NANOS * Nanos.IN_SECONDS);
-    double refill = rate * clock.nanosSince(refilledAtNanos) * Nanos.IN_SECONDS;
-    tokens = Math.min(capacity, tokens + refill);
-    refilledAtNanos = clock.nowNanos();
-    return capacity;
-  }
-
   /**
    * Adapts the rate to a call that ended. A connection that broke says nothing of the counter's
    * load. The rate rises only where it has kept calls back.
