Split ClientConnection into request assembly, state, dispatch, responses and health check

Change: code is moved, behaviour stays. RequestAssembler holds head, body and budgeted bytes of the request being received; ConnectionState holds what a connection is in, since when, and its timeouts; RequestDispatcher parses a whole request and hands it over; ClientResponseSink maps how a request ended to a response; HealthCheck answers the node's own path. ClientConnection keeps the pipeline, refusals and closing. Refusals go by InvalidRequestException alone.

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -16,13 +15,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
-import merlinrouter.node.http.BodyAccumulator;
-import merlinrouter.node.http.ServiceProtocol;
 import merlinrouter.node.logging.ErrorLog;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.request.OpenRequest;
-import merlinrouter.node.request.ResponseSink;
 
 /**
  * A client connection. It handles one request at a time; pipelined requests wait undecoded until
@@ -30,43 +25,19 @@
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject>
     implements TrackedConnection {
-  /** How many bytes of pipelined requests may wait before the connection is not read any more. */
-  private static final int MAX_PIPELINED_BYTES = 4 * ServiceProtocol.MAX_BODY_BYTES;
-
-  /**
-   * How long receiving a whole request may take: from the connect or, on a connection that has
-   * received one before, from its first byte.
-   */
-  private static final long REQUEST_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
-
-  private static final long IDLE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
-
   private final Channel channel;
   private final RequestHandler handler;
-  private final RequestParser parser;
-  private final MemoryBudget budget;
   private final ConnectionRegistry registry;
   private final AcceptThrottle acceptThrottle;
   private final ClientPresence presence;
-  private final ResponseWriter responses;
+  private final ConnectionState state = new ConnectionState();
   private final RequestDecoder decoder =
       new RequestDecoder(this::bytesDecoded, this::earliestArrivalNanos);
-  private final BodyAccumulator body = new BodyAccumulator(ServiceProtocol.MAX_BODY_BYTES);
-  private HttpRequest head;
-  private OpenRequest openRequest;
-
-  /** Whether a request has been received in part. */
-  private boolean receiving;
-
-  /** Whether a whole request has been received yet. */
-  private boolean receivedRequest;
-
+  private final RequestAssembler assembler;
+  private final HealthCheck healthCheck;
+  private final RequestDispatcher dispatcher;
+  private final ResponseWriter responses;
   private boolean keepAlive;
-  private boolean closing;
-  private long stateSinceNanos = System.nanoTime();
-
-  /** What this connection holds of the memory budget. */
-  private int budgetedBytes;
 
   /** Takes over an accepted connection; {@link #configurePipeline} is still to be called. */
   ClientConnection(
@@ -78,11 +49,12 @@
       AcceptThrottle acceptThrottle) {
     this.channel = channel;
     this.handler = handler;
-    this.parser = parser;
-    this.budget = budget;
     this.registry = registry;
     this.acceptThrottle = acceptThrottle;
     presence = new ClientPresence(channel, acceptThrottle.waitingSinceNanos());
+    assembler = new RequestAssembler(budget);
+    healthCheck = new HealthCheck(handler, registry);
+    dispatcher = new RequestDispatcher(handler, parser, state);
     responses = new ResponseWriter(channel);
   }
 
@@ -93,27 +65,27 @@
 
   @Override
   public boolean isClosing() {
-    return closing;
+    return state.isClosing();
   }
 
   @Override
   public boolean hasOpenRequest() {
-    return openRequest != null;
+    return state.hasOpenRequest();
   }
 
   @Override
   public boolean hasReceivedRequest() {
-    return receivedRequest;
+    return state.hasReceivedRequest();
   }
 
   @Override
   public boolean isBetweenRequests() {
-    return openRequest == null && !receiving;
+    return state.isBetweenRequests();
   }
 
   @Override
   public long stateSinceNanos() {
-    return stateSinceNanos;
+    return state.sinceNanos();
   }
 
   @Override
@@ -133,55 +105,41 @@
 
   /** Called by the decoder after each read, when all that may be decoded has been. */
   private void bytesDecoded() {
-    if (isBetweenRequests() && !closing && decoder.undecodedBytes() > 0) {
-      startReceiving();
+    int undecodedBytes = decoder.undecodedBytes();
+    if (state.isBetweenRequests() && !state.isClosing() && undecodedBytes > 0) {
+      state.startReceiving();
     }
-    updateBudget();
-    if (decoder.isPaused() && hasTooManyPipelinedBytes()) {
+    assembler.updateBudget(undecodedBytes);
+    if (decoder.isPaused() && assembler.hasTooManyPipelinedBytes(undecodedBytes)) {
       presence.pauseReading();
-    } else if (head != null && !closing && !budget.allows(budgetedBytes)) {
-      refuseAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for this body");
+    } else if (!state.isClosing()) {
+      try {
+        assembler.checkBudget();
+      } catch (InvalidRequestException e) {
+        refuseAndClose(e);
+      }
     }
   }
 
-  private boolean hasTooManyPipelinedBytes() {
-    int undecoded = decoder.undecodedBytes();
-    return undecoded > 0 && (undecoded > MAX_PIPELINED_BYTES || !budget.allows(undecoded));
-  }
-
-  private void startReceiving() {
-    receiving = true;
-    if (receivedRequest) {
-      stateSinceNanos = System.nanoTime();
-    }
-  }
-
-  private void updateBudget() {
-    int heldBytes = decoder.undecodedBytes() + body.size();
-    budget.change(heldBytes - budgetedBytes);
-    budgetedBytes = heldBytes;
-  }
-
   @Override
   public void enforceTimeouts() {
-    if (openRequest != null) {
-      return;
-    }
-    long elapsedNanos = System.nanoTime() - stateSinceNanos;
-    if (receiving && !closing && elapsedNanos > REQUEST_TIMEOUT_NANOS) {
-      refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come");
-    } else if ((closing || !receiving) && elapsedNanos > IDLE_TIMEOUT_NANOS) {
+    long nowNanos = System.nanoTime();
+    if (state.isReceiveTimedOut(nowNanos)) {
+      refuseAndClose(
+          new InvalidRequestException(
+              HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come"));
+    } else if (state.isIdleTimedOut(nowNanos)) {
       initiateClose("idle timeout");
     }
   }
 
   @Override
   public boolean initiateClose(String reason) {
-    if (hasUnreadRequest() || !handler.guard().mayClose(openRequest, reason)) {
+    if (hasUnreadRequest() || !handler.guard().mayClose(state.openRequest(), reason)) {
       return false;
     }
     handler.log().count(NodeLog.Event.IDLE_CLOSED);
-    closing = true;
+    state.startClosing();
     channel.close();
     return true;
   }
@@ -191,32 +149,41 @@
    * have stalled since it last polled its sockets.
    */
   private boolean hasUnreadRequest() {
-    if (closing || !isBetweenRequests()) {
+    if (state.isClosing() || !state.isBetweenRequests()) {
       return false;
     }
     presence.readAvailable();
-    return channel.isActive() && !isBetweenRequests();
+    return channel.isActive() && !state.isBetweenRequests();
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-    if (closing) {
+    if (state.isClosing()) {
       return;
     }
+    try {
+      assemble(part);
+    } catch (InvalidRequestException e) {
+      refuseAndClose(e);
+    }
+  }
+
+  private void assemble(HttpObject part) throws InvalidRequestException {
     if (part.decoderResult().isFailure()) {
-      refuseAndClose(HttpResponseStatus.BAD_REQUEST, "this is no request that can be read");
-      return;
+      throw InvalidRequestException.badRequest("this is no request that can be read");
     }
-    if (part instanceof HttpRequest requestHead) {
-      head = requestHead;
-      startReceiving();
-      checkBodyLength(requestHead);
+    if (part instanceof HttpRequest head) {
+      state.startReceiving();
+      assembler.start(head);
+      if (HttpUtil.is100ContinueExpected(head)) {
+        responses.writeContinue();
+      }
     }
-    if (part instanceof HttpContent content && !closing && !body.add(content.content())) {
-      refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+    if (part instanceof HttpContent content) {
+      assembler.addContent(content.content());
     }
-    if (part instanceof LastHttpContent && !closing) {
-      receivedRequest = true;
+    if (part instanceof LastHttpContent) {
+      state.completeReceiving();
       // After the rest of this read: the client's close may follow.
       channel.eventLoop().execute(this::handleRequest);
     }
@@ -225,107 +192,69 @@
   /** The earliest moment at which bytes that are read now may have arrived. */
   private long earliestArrivalNanos() {
     // Bytes sent right behind the connect may have waited as long as the connection.
-    boolean firstBytes = !receivedRequest && !receiving;
-    return presence.wasReadingPaused() || firstBytes
+    return presence.wasReadingPaused() || state.isBeforeFirstRequest()
         ? presence.lastSeenNanos()
         : handler.previousPollNanos();
   }
 
-  /** Rejects a body by the length that its head announces, before any of it is read. */
-  private void checkBodyLength(HttpRequest requestHead) {
-    long length = HttpUtil.getContentLength(requestHead, 0L);
-    if (length > ServiceProtocol.MAX_BODY_BYTES) {
-      refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
-    } else if (!budget.allows(length)) {
-      refuseAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for this body");
-    } else if (HttpUtil.is100ContinueExpected(requestHead)) {
-      responses.writeContinue();
-    }
-  }
-
   private void handleRequest() {
-    if (closing || !channel.isActive()) {
+    if (state.isClosing() || !channel.isActive()) {
       return;
     }
-    HttpRequest requestHead = head;
-    ByteBuf content = body.take();
+    HttpRequest head = assembler.takeHead();
+    ByteBuf body = assembler.takeBody();
     // Whoever takes the body over counts its bytes from now on.
-    updateBudget();
-    head = null;
-    receiving = false;
-    keepAlive = HttpUtil.isKeepAlive(requestHead);
-    if (requestHead.uri().equals(ClientProtocol.HEALTH_PATH)) {
-      content.release();
-      handleHealthCheck(requestHead.method());
-      return;
-    }
+    assembler.updateBudget(decoder.undecodedBytes());
+    state.startHandling();
+    keepAlive = HttpUtil.isKeepAlive(head);
     try {
-      handOver(requestHead, content);
+      if (head.uri().equals(ClientProtocol.HEALTH_PATH)) {
+        HttpResponseStatus health = healthCheck.status(head.method());
+        body.release();
+        respond(health, Unpooled.EMPTY_BUFFER, 0);
+      } else {
+        dispatcher.dispatch(
+            head, body, decoder.requestArrivedNanos(), new ClientResponseSink(this, presence));
+      }
     } catch (InvalidRequestException e) {
-      content.release();
-      refuseAndClose(e.status(), e.getMessage());
-    }
-  }
-
-  private void handOver(HttpRequest requestHead, ByteBuf content) throws InvalidRequestException {
-    long arrivedAt = handler.toGatewayTime(decoder.requestArrivedNanos());
-    ParsedRequest parsed = parser.parse(requestHead, arrivedAt);
-    OpenRequest request =
-        new OpenRequest(
-            parsed.request(),
-            parsed.method(),
-            parsed.uri(),
-            parsed.idempotencyKey(),
-            content,
-            new Responder());
-    openRequest = request;
-    if (!handler.accept(request)) {
-      openRequest = null;
-      throw new InvalidRequestException(
-          HttpResponseStatus.CONFLICT, "a request of this id is open");
-    }
-  }
-
-  private void handleHealthCheck(HttpMethod method) {
-    if (!method.equals(HttpMethod.GET)) {
-      refuseAndClose(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET only");
-      return;
+      body.release();
+      refuseAndClose(e);
     }
-    boolean ready = handler.isReady() && !registry.isDraining();
-    respond(
-        ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-        Unpooled.EMPTY_BUFFER,
-        0);
   }
 
   /**
    * Responds with an error before the gateway has seen the request, and closes. Later bytes are not
    * read: they may belong to this request.
    */
-  private void refuseAndClose(HttpResponseStatus status, String reason) {
+  private void refuseAndClose(InvalidRequestException rejection) {
     handler.log().count(NodeLog.Event.BAD_REQUEST);
     keepAlive = false;
-    head = null;
-    body.take().release();
+    assembler.discard();
     decoder.stop();
     channel.config().setAutoRead(false);
-    respond(status, Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8), 0);
+    String reason = rejection.getMessage() + "\n";
+    respond(rejection.status(), Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8), 0);
   }
 
-  private void respond(HttpResponseStatus status, ByteBuf content, long retryAfterNanos) {
-    closing = !keepAlive || registry.isDraining() || registry.hasMaxIdleConnections();
-    openRequest = null;
-    receiving = false;
-    stateSinceNanos = System.nanoTime();
-    responses.write(status, content, retryAfterNanos, closing);
-    if (!closing) {
+  /**
+   * Writes the final response of the request that was received last, and goes on to the next one or
+   * closes.
+   *
+   * @param content the body; it is released once written
+   * @param retryAfterNanos when the client may retry, from now; 0 for no advice
+   */
+  void respond(HttpResponseStatus status, ByteBuf content, long retryAfterNanos) {
+    boolean close = !keepAlive || registry.isDraining() || registry.hasMaxIdleConnections();
+    state.endRequest(close);
+    responses.write(status, content, retryAfterNanos, close);
+    if (!state.isClosing()) {
       channel.eventLoop().execute(this::resumeDecoding);
     }
   }
 
   /** Goes on to pipelined requests, unless the client does not even read its responses. */
   private void resumeDecoding() {
-    if (openRequest != null || closing || !channel.isActive() || !channel.isWritable()) {
+    if (!state.mayReceive() || !channel.isActive() || !channel.isWritable()) {
       return;
     }
     channel.config().setAutoRead(true);
@@ -344,14 +273,12 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     registry.remove(this);
-    body.take().release();
-    updateBudget();
+    assembler.discard();
+    assembler.updateBudget(decoder.undecodedBytes());
     if (registry.isAccepting()) {
       acceptThrottle.resume(channel.parent());
     }
-    OpenRequest abandoned = openRequest;
-    openRequest = null;
-    closing = true;
+    OpenRequest abandoned = state.close();
     if (abandoned != null) {
       handler.clientDisconnected(abandoned);
     }
@@ -369,32 +296,4 @@
     }
     channel.close();
   }
-
-  /** Writes the final response of the open request. */
-  private final class Responder implements ResponseSink {
-    @Override
-    public void served(ByteBuf content) {
-      respond(HttpResponseStatus.OK, content.retain(), 0);
-    }
-
-    @Override
-    public void rejected(long retryAfterNanos) {
-      respond(
-          retryAfterNanos > 0
-              ? HttpResponseStatus.TOO_MANY_REQUESTS
-              : HttpResponseStatus.SERVICE_UNAVAILABLE,
-          Unpooled.EMPTY_BUFFER,
-          retryAfterNanos);
-    }
-
-    @Override
-    public void failed() {
-      respond(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
-    }
-
-    @Override
-    public boolean readAndCheckDisconnected() {
-      return presence.readAndCheckDisconnected();
-    }
-  }
 }
--- /dev/null
+++ b/src/main/java/merlinrouter/node/downstream/ConnectionState.java
@@ -0,0 +1,141 @@
+package merlinrouter.node.downstream;
+
+import java.util.concurrent.TimeUnit;
+import merlinrouter.node.request.OpenRequest;
+
+/**
+ * The state of a client connection: waiting for a request, receiving one, waiting for its response,
+ * or closing; and since when, for its timeouts.
+ */
+final class ConnectionState {
+  /**
+   * How long receiving a whole request may take: from the connect or, on a connection that has
+   * received one before, from its first byte.
+   */
+  private static final long REQUEST_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+  private static final long IDLE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+  private OpenRequest openRequest;
+
+  /** Whether a request has been received in part. */
+  private boolean receiving;
+
+  /** Whether a whole request has been received yet. */
+  private boolean receivedRequest;
+
+  private boolean closing;
+  private long sinceNanos = System.nanoTime();
+
+  /** See {@link TrackedConnection#isClosing}. */
+  boolean isClosing() {
+    return closing;
+  }
+
+  /** See {@link TrackedConnection#hasOpenRequest}. */
+  boolean hasOpenRequest() {
+    return openRequest != null;
+  }
+
+  /** See {@link TrackedConnection#hasReceivedRequest}. */
+  boolean hasReceivedRequest() {
+    return receivedRequest;
+  }
+
+  /** See {@link TrackedConnection#isBetweenRequests}. */
+  boolean isBetweenRequests() {
+    return openRequest == null && !receiving;
+  }
+
+  /** See {@link TrackedConnection#stateSinceNanos}. */
+  long sinceNanos() {
+    return sinceNanos;
+  }
+
+  /** The request that waits for its response; null if there is none. */
+  OpenRequest openRequest() {
+    return openRequest;
+  }
+
+  /** Whether a further request may be received: none is open, and the connection stays open. */
+  boolean mayReceive() {
+    return openRequest == null && !closing;
+  }
+
+  /** Whether nothing has been received yet since the connect. */
+  boolean isBeforeFirstRequest() {
+    return !receivedRequest && !receiving;
+  }
+
+  /** Whether receiving a request takes too long. */
+  boolean isReceiveTimedOut(long nowNanos) {
+    return openRequest == null
+        && receiving
+        && !closing
+        && nowNanos - sinceNanos > REQUEST_TIMEOUT_NANOS;
+  }
+
+  /** Whether the connection has been idle, or closing, for too long. */
+  boolean isIdleTimedOut(long nowNanos) {
+    return openRequest == null
+        && (closing || !receiving)
+        && nowNanos - sinceNanos > IDLE_TIMEOUT_NANOS;
+  }
+
+  /** Records that a request has been received in part. */
+  void startReceiving() {
+    receiving = true;
+    if (receivedRequest) {
+      sinceNanos = System.nanoTime();
+    }
+  }
+
+  /** Records that the last byte of a request has been received, which is still to be handled. */
+  void completeReceiving() {
+    receivedRequest = true;
+  }
+
+  /** Records that the request that was received is being handled. */
+  void startHandling() {
+    receiving = false;
+  }
+
+  /** Records that a request waits for its response. */
+  void setOpenRequest(OpenRequest request) {
+    openRequest = request;
+  }
+
+  /** Records that the open request was not accepted. */
+  void clearOpenRequest() {
+    openRequest = null;
+  }
+
+  /**
+   * Records that a response is about to be written.
+   *
+   * @param closes whether the connection closes behind it
+   */
+  void endRequest(boolean closes) {
+    closing = closes;
+    openRequest = null;
+    receiving = false;
+    sinceNanos = System.nanoTime();
+  }
+
+  /** Records that the connection is being closed. */
+  void startClosing() {
+    closing = true;
+  }
+
+  /**
+   * Records that the connection is closed.
+   *
+   * @return the request that was open on it; null if there was none
+   */
+  OpenRequest close() {
+    OpenRequest abandoned = openRequest;
+    openRequest = null;
+    closing = true;
+    return abandoned;
+  }
+}
--- /dev/null
+++ b/src/main/java/merlinrouter/node/downstream/RequestAssembler.java
@@ -0,0 +1,116 @@
+package merlinrouter.node.downstream;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import merlinrouter.node.http.BodyAccumulator;
+import merlinrouter.node.http.ServiceProtocol;
+
+/**
+ * Assembles the head and the body of the request that a connection is receiving, and counts the
+ * bytes that the connection holds of the memory budget.
+ */
+final class RequestAssembler {
+  /** How many bytes of pipelined requests may wait before the connection is not read any more. */
+  private static final int MAX_PIPELINED_BYTES = 4 * ServiceProtocol.MAX_BODY_BYTES;
+
+  private final MemoryBudget budget;
+  private final BodyAccumulator body = new BodyAccumulator(ServiceProtocol.MAX_BODY_BYTES);
+  private HttpRequest head;
+
+  /** What this connection holds of the memory budget. */
+  private int budgetedBytes;
+
+  RequestAssembler(MemoryBudget budget) {
+    this.budget = budget;
+  }
+
+  /**
+   * Starts a request. Its body is rejected by the length that its head announces, before any of it
+   * is read.
+   *
+   * @throws InvalidRequestException if the body would be too large, or has no room
+   */
+  void start(HttpRequest requestHead) throws InvalidRequestException {
+    head = requestHead;
+    long length = HttpUtil.getContentLength(requestHead, 0L);
+    if (length > ServiceProtocol.MAX_BODY_BYTES) {
+      throw bodyTooLarge();
+    }
+    if (!budget.allows(length)) {
+      throw noRoom();
+    }
+  }
+
+  /**
+   * Adds a part of the body, which stays the caller's.
+   *
+   * @throws InvalidRequestException if the body is too large with it
+   */
+  void addContent(ByteBuf content) throws InvalidRequestException {
+    if (!body.add(content)) {
+      throw bodyTooLarge();
+    }
+  }
+
+  /**
+   * Checks that the request that is being assembled, if any, may go on growing.
+   *
+   * @throws InvalidRequestException if the memory budget is used up
+   */
+  void checkBudget() throws InvalidRequestException {
+    if (head != null && !budget.allows(budgetedBytes)) {
+      throw noRoom();
+    }
+  }
+
+  /** Returns the head, and forgets it. */
+  HttpRequest takeHead() {
+    HttpRequest taken = head;
+    head = null;
+    return taken;
+  }
+
+  /** Returns the body, which the caller then owns. */
+  ByteBuf takeBody() {
+    return body.take();
+  }
+
+  /** Drops the request that is being assembled, if any. */
+  void discard() {
+    head = null;
+    body.take().release();
+  }
+
+  /**
+   * Brings the memory budget up to date with what the connection holds now.
+   *
+   * @param undecodedBytes how many received bytes are not decoded yet
+   */
+  void updateBudget(int undecodedBytes) {
+    int heldBytes = undecodedBytes + body.size();
+    budget.change(heldBytes - budgetedBytes);
+    budgetedBytes = heldBytes;
+  }
+
+  /**
+   * Whether too much waits behind the request that was received last.
+   *
+   * @param undecodedBytes how many received bytes are not decoded yet
+   */
+  boolean hasTooManyPipelinedBytes(int undecodedBytes) {
+    return undecodedBytes > 0
+        && (undecodedBytes > MAX_PIPELINED_BYTES || !budget.allows(undecodedBytes));
+  }
+
+  private static InvalidRequestException bodyTooLarge() {
+    return new InvalidRequestException(
+        HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+  }
+
+  private static InvalidRequestException noRoom() {
+    return new InvalidRequestException(
+        HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for this body");
+  }
+}
