Measure each stall of the event loop, and the time that responses leave to their clients

Four lost requests could not be followed: EventLoopMonitor looked each 500 ms, missed two of three holds of 0.3 s and told no cause, and a late response left no trace.

TimedIoHandler takes the times of each turn: overslept, sockets, tasks. EventLoopMonitor tells the longest stall of an interval with what the threads of loop, collector and compiler used meanwhile (Linux' scheduler statistics). ResponseTimes tells the least time left to a client's own deadline, and logs each response behind it (RESPONDED_LATE) with the request's way and the stalls that it crossed. Decisions are untouched.

--- a/src/main/java/merlinrouter/gateway/Gateway.java
+++ b/src/main/java/merlinrouter/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import merlinrouter.control.ConcurrencyController;
 import merlinrouter.control.ShareController;
@@ -220,6 +221,12 @@
     }
   }
 
+  /** When an open request was admitted, for the host's log; empty if it was not or is not open. */
+  public OptionalLong admittedAtNanos(String requestId) {
+    PendingRequest pending = dispatcher.get(requestId);
+    return pending == null ? OptionalLong.empty() : pending.admittedAtNanos();
+  }
+
   /** How many customers and endpoints are kept. */
   int trackedCustomersAndEndpoints() {
     return quotas.accountCount() + loadBalancer.trackedCount();
--- a/src/main/java/merlinrouter/gateway/PendingRequest.java
+++ b/src/main/java/merlinrouter/gateway/PendingRequest.java
@@ -1,5 +1,6 @@
 package merlinrouter.gateway;
 
+import java.util.OptionalLong;
 import merlinrouter.loadbalancing.BalancedRequest;
 import merlinrouter.loadbalancing.EndpointTracker;
 import merlinrouter.model.AttemptResult;
@@ -24,6 +25,7 @@
   private final long arrivedAtNanos;
   private final double arrivalVirtualTime;
   private RequestState state = RequestState.RECEIVED;
+  private OptionalLong admittedAtNanos = OptionalLong.empty();
   private int attempts;
   private EndpointTracker endpoint;
   private long attemptStartedAtNanos;
@@ -99,6 +101,17 @@
     state = next;
   }
 
+  /** Records that quota and limits permit the request, which waits for its first attempt now. */
+  void admitted(long nowNanos) {
+    transitionTo(RequestState.QUEUED);
+    admittedAtNanos = OptionalLong.of(nowNanos);
+  }
+
+  /** When the request was admitted; empty if it was not. */
+  OptionalLong admittedAtNanos() {
+    return admittedAtNanos;
+  }
+
   /** Records that an attempt starts. */
   void attemptStarted(EndpointTracker chosen, long nowNanos) {
     transitionTo(RequestState.IN_FLIGHT);
--- a/src/main/java/merlinrouter/gateway/RequestDispatcher.java
+++ b/src/main/java/merlinrouter/gateway/RequestDispatcher.java
@@ -77,7 +77,7 @@
 
   /** Queues an admitted request; sheds load where the queue grows too long. */
   void enqueue(PendingRequest pending) {
-    pending.transitionTo(RequestState.QUEUED);
+    pending.admitted(clock.nowNanos());
     pending.queue().add(pending);
     PendingRequest excess = loadShedder.pollExcess(pending.queue());
     while (excess != null) {
--- a/src/main/java/merlinrouter/node/EdgeNode.java
+++ b/src/main/java/merlinrouter/node/EdgeNode.java
@@ -17,6 +17,7 @@
 import merlinrouter.node.downstream.MemoryBudget;
 import merlinrouter.node.downstream.RequestHandler;
 import merlinrouter.node.logging.NodeLog;
+import merlinrouter.node.monitoring.EventLoopMonitor;
 import merlinrouter.node.request.InvariantGuard;
 import merlinrouter.node.request.OpenRequest;
 import merlinrouter.node.transport.EventLoops;
@@ -32,10 +33,9 @@
   private static final long ACCEPT_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
   private final PollTimestamps pollTimestamps = new PollTimestamps();
-  private final EventLoopGroup group =
-      EventLoops.newSingleLoopGroup(
-          NioIoHandler.newFactory(SelectorProvider.provider(), () -> pollTimestamps));
-  private final EventLoop loop = group.next();
+  private final EventLoopMonitor monitor;
+  private final EventLoopGroup group;
+  private final EventLoop loop;
   private final NodeClock clock = new NodeClock();
   private final NodeConfig config;
   private final NodeLog log;
@@ -45,7 +45,6 @@
   private final ShutdownDeadline shutdownDeadline;
   private final GatewayHost host;
   private final EndpointListUpdater endpointUpdater;
-  private final EventLoopMonitor monitor;
   private final DiscoveryClient discovery;
   private final ClientListener clients;
 
@@ -61,15 +60,19 @@
   public EdgeNode(NodeConfig config, NodeLog log) {
     this.config = config;
     this.log = log;
+    monitor = new EventLoopMonitor(log);
+    group =
+        EventLoops.newSingleLoopGroup(
+            NioIoHandler.newFactory(SelectorProvider.provider(), () -> pollTimestamps), monitor);
+    loop = group.next();
     guard = new InvariantGuard(log);
     budget = new MemoryBudget(config.memoryLimitBytes());
     deadlineMargin = new DeadlineMargin(config.cores());
     shutdownDeadline = new ShutdownDeadline(config.settings().requestClasses());
-    host = new GatewayHost(loop, config, log, clock, budget, guard);
+    host = new GatewayHost(loop, config, log, clock, budget, guard, monitor.responseTimes());
     EndpointStartTimes startTimes =
         new EndpointStartTimes(config.settings().rules().slowStartDurationNanos(), log);
     endpointUpdater = new EndpointListUpdater(host, startTimes, clock);
-    monitor = new EventLoopMonitor(log, endpointUpdater::observeClocks);
     discovery = new DiscoveryClient(endpointUpdater, loop, config, log);
     clients = new ClientListener(this, loop, config, budget);
   }
@@ -87,7 +90,7 @@
 
   private void startOnLoop() {
     host.start();
-    monitor.start(loop);
+    monitor.start(loop, endpointUpdater::observeClocks);
     EndpointList known = config.knownEndpoints();
     endpointUpdater.endpointsUpdated(known, EndpointUpdateType.CACHED);
     discovery.start(known.revision());
--- a/src/main/java/merlinrouter/node/GatewayHost.java
+++ b/src/main/java/merlinrouter/node/GatewayHost.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import merlinrouter.gateway.Gateway;
 import merlinrouter.gateway.GatewayActions;
@@ -17,8 +19,10 @@
 import merlinrouter.node.counter.CounterResult;
 import merlinrouter.node.downstream.MemoryBudget;
 import merlinrouter.node.logging.NodeLog;
+import merlinrouter.node.monitoring.ResponseTimes;
 import merlinrouter.node.request.InvariantGuard;
 import merlinrouter.node.request.OpenRequest;
+import merlinrouter.node.request.RequestTimeline;
 import merlinrouter.node.request.ResponseSink;
 import merlinrouter.node.upstream.AttemptListener;
 import merlinrouter.node.upstream.CompletedAttempt;
@@ -46,6 +50,7 @@
   private final MemoryBudget budget;
   private final InvariantGuard guard;
   private final EventDelivery events;
+  private final ResponseTimes responseTimes;
   private final UpstreamPool upstreamPool;
   private final CounterClient counterClient;
   private final Map<String, OpenRequest> openRequests = new HashMap<>();
@@ -57,13 +62,15 @@
       NodeLog log,
       NodeClock clock,
       MemoryBudget budget,
-      InvariantGuard guard) {
+      InvariantGuard guard,
+      ResponseTimes responseTimes) {
     this.loop = loop;
     this.config = config;
     this.log = log;
     this.clock = clock;
     this.budget = budget;
     this.guard = guard;
+    this.responseTimes = responseTimes;
     events = new EventDelivery(loop, clock);
     upstreamPool = new UpstreamPool(this, loop, config, log);
     counterClient = new CounterClient(this::counterCallEnded, loop, config);
@@ -136,10 +143,7 @@
     OpenRequest request = attempt.request();
     request.endAttempt(attempt.outcome(), clock.nowNanos() - attempt.durationNanos());
     if (attempt.outcome() == Outcome.OK) {
-      ResponseSink sink = request.takeResponseSink();
-      if (sink != null) {
-        sink.served(attempt.body());
-      }
+      respond(request, sink -> sink.served(attempt.body()));
     }
     AttemptResult result =
         new AttemptResult(
@@ -238,10 +242,8 @@
   @Override
   public void reject(String requestId, long retryAfterNanos) {
     OpenRequest request = openRequests.get(requestId);
-    ResponseSink sink = request == null ? null : request.takeResponseSink();
-    if (sink != null) {
+    if (request != null && respond(request, sink -> sink.rejected(retryAfterNanos))) {
       log.count(NodeLog.Event.REJECTED);
-      sink.rejected(retryAfterNanos);
       forgetIfEnded(request);
     }
   }
@@ -255,14 +257,32 @@
   }
 
   private void fail(OpenRequest request) {
-    ResponseSink sink = request.takeResponseSink();
-    if (sink != null) {
+    if (respond(request, ResponseSink::failed)) {
       log.request(NodeLog.Event.FAILED, request.id(), "after " + request.attempts() + " attempts");
-      sink.failed();
       forgetIfEnded(request);
     }
   }
 
+  /**
+   * Sends a request's final response.
+   *
+   * @return false, with nothing done, if it was sent before or the client has disconnected
+   */
+  private boolean respond(OpenRequest request, Consumer<ResponseSink> response) {
+    ResponseSink sink = request.takeResponseSink();
+    if (sink == null) {
+      return false;
+    }
+    response.accept(sink);
+    RequestTimeline timeline = request.timeline();
+    timeline.reach(RequestTimeline.Stage.RESPONDED);
+    OptionalLong admittedAt = gateway.admittedAtNanos(request.id());
+    admittedAt.ifPresent(
+        nanos -> timeline.reach(RequestTimeline.Stage.ADMITTED, clock.toNanoTime(nanos)));
+    responseTimes.responded(request.id(), timeline);
+    return true;
+  }
+
   @Override
   public void startHealthCheck(String endpointId) {
     // Not supported yet: load reports are used in the simulator only.
--- a/src/main/java/merlinrouter/node/NodeClock.java
+++ b/src/main/java/merlinrouter/node/NodeClock.java
@@ -19,6 +19,11 @@
     return nanoTime + offsetNanos;
   }
 
+  /** Converts a moment of this clock to {@link System#nanoTime}. */
+  long toNanoTime(long nanos) {
+    return nanos - offsetNanos;
+  }
+
   /** The wall clock, which may step: only to be compared with this clock. */
   static long wallNanos() {
     return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
--- a/src/main/java/merlinrouter/node/downstream/RequestDispatcher.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestDispatcher.java
@@ -41,7 +41,8 @@
             parsed.uri(),
             parsed.idempotencyKey(),
             body,
-            responseSink);
+            responseSink,
+            parsed.timelineOnceRead(arrivedNanos));
     state.setOpenRequest(request);
     if (!handler.accept(request)) {
       state.clearOpenRequest();
--- a/src/main/java/merlinrouter/node/downstream/RequestParser.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestParser.java
@@ -75,7 +75,7 @@
             quota.gatewaySpread(settings.gatewayCount()),
             quota.firstGateway(settings.gatewayCount()),
             ClientProtocol.RETRY_TRUE.equals(headers.get(ClientProtocol.RETRY)));
-    return new ParsedRequest(request, method, uri, idempotencyKey);
+    return new ParsedRequest(request, timeoutNanos, method, uri, idempotencyKey);
   }
 
   private static int indexOf(List<String> names, HttpHeaders headers, String header)
--- a/src/main/java/merlinrouter/node/lifecycle/NodeProcess.java
+++ b/src/main/java/merlinrouter/node/lifecycle/NodeProcess.java
@@ -3,6 +3,7 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -12,6 +13,7 @@
 import merlinrouter.node.config.ConfigFile;
 import merlinrouter.node.config.InvalidConfigException;
 import merlinrouter.node.config.UnreadableConfigException;
+import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.logging.SingleLineFormatter;
 import merlinrouter.node.warmup.WarmUp;
 
@@ -27,6 +29,7 @@
 
   private final ConfigFile configFile;
   private final Path warmUpFolder;
+  private final Duration logInterval;
 
   /** The node once it is created; null during the warm-up. */
   private final AtomicReference<EdgeNode> serving = new AtomicReference<>();
@@ -38,10 +41,12 @@
    *
    * @param configPath the configuration file
    * @param temporaryFolder where the warm-up may put its sockets
+   * @param logInterval how often the node's log tells its counts
    */
-  public NodeProcess(Path configPath, Path temporaryFolder) {
+  public NodeProcess(Path configPath, Path temporaryFolder, Duration logInterval) {
     configFile = new ConfigFile(configPath);
     warmUpFolder = temporaryFolder;
+    this.logInterval = logInterval;
   }
 
   /** Has the libraries log on single lines, to the JDK's own log. */
@@ -84,7 +89,7 @@
     // Moves what the start leaves to the old generation now. The first collection under load would
     // have to, on pages that were never touched, and would stall the event loop for that long.
     System.gc();
-    EdgeNode node = new EdgeNode(configFile.read());
+    EdgeNode node = new EdgeNode(configFile.read(), new NodeLog(logInterval));
     serving.set(node);
     if (hangups.get() != hangupsBefore) {
       reload(node);
--- a/src/main/java/merlinrouter/node/logging/NodeLog.java
+++ b/src/main/java/merlinrouter/node/logging/NodeLog.java
@@ -1,8 +1,8 @@
 package merlinrouter.node.logging;
 
+import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The node's log on standard output: counts of events, written as one line while they grow, and a
@@ -33,36 +33,50 @@
     RESPONSE_INCOMPLETE,
     /** A request had no final response shortly after its deadline, and was failed. */
     OVERDUE,
+    /** A final response was written after its client's own deadline. */
+    RESPONDED_LATE,
     /** The event loop was stalled for longer than the rules of the service allow for. */
     EVENT_LOOP_STALLED,
     /** The wall clock stepped. */
     CLOCK_STEPPED
   }
 
-  private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
+  /** How often counts are written unless it is said otherwise. */
+  public static final Duration DEFAULT_INTERVAL = Duration.ofSeconds(10);
 
   /** Bounds the output under a burst of events; the counts cover the others. */
   private static final int MAX_REQUEST_LINES_PER_INTERVAL = 20;
 
   private final boolean silent;
+  private final long intervalNanos;
   private final Map<Event, Long> counts = new EnumMap<>(Event.class);
   private long violations;
   private int requestLines;
   private boolean changed;
   private long intervalStartedAtNanos = System.nanoTime();
 
-  /** Creates a log that writes to standard output. */
+  /** Creates a log that writes to standard output, and its counts in the default interval. */
   public NodeLog() {
-    this(false);
+    this(DEFAULT_INTERVAL);
   }
 
-  private NodeLog(boolean silent) {
+  /**
+   * Creates a log that writes to standard output.
+   *
+   * @param interval how often counts are written
+   */
+  public NodeLog(Duration interval) {
+    this(interval, false);
+  }
+
+  private NodeLog(Duration interval, boolean silent) {
+    this.intervalNanos = interval.toNanos();
     this.silent = silent;
   }
 
   /** Returns a log that writes nothing, for a node that serves no clients. */
   public static NodeLog silent() {
-    return new NodeLog(true);
+    return new NodeLog(DEFAULT_INTERVAL, true);
   }
 
   /** Writes a line. */
@@ -100,11 +114,13 @@
   /**
    * Writes the counts if an interval has passed and any has changed since they were last written.
    * To be called several times an interval.
+   *
+   * @return whether an interval has passed
    */
-  public void tick() {
+  public boolean tick() {
     long nowNanos = System.nanoTime();
-    if (nowNanos - intervalStartedAtNanos < INTERVAL_NANOS) {
-      return;
+    if (nowNanos - intervalStartedAtNanos < intervalNanos) {
+      return false;
     }
     intervalStartedAtNanos = nowNanos;
     requestLines = 0;
@@ -112,5 +128,6 @@
       changed = false;
       line("counts: " + counts + ", violations=" + violations);
     }
+    return true;
   }
 }
--- a/src/main/java/merlinrouter/node/request/OpenRequest.java
+++ b/src/main/java/merlinrouter/node/request/OpenRequest.java
@@ -17,6 +17,7 @@
   private final String idempotencyKey;
   private final ByteBuf body;
   private final ResponseSink responseSink;
+  private final RequestTimeline timeline;
   private int attempts;
   private boolean attemptInFlight;
   private boolean possiblyExecuted;
@@ -36,13 +37,15 @@
       String uri,
       String idempotencyKey,
       ByteBuf body,
-      ResponseSink responseSink) {
+      ResponseSink responseSink,
+      RequestTimeline timeline) {
     this.clientRequest = clientRequest;
     this.method = method;
     this.uri = uri;
     this.idempotencyKey = idempotencyKey;
     this.body = body;
     this.responseSink = responseSink;
+    this.timeline = timeline;
   }
 
   /** The request as the gateway knows it. */
@@ -75,6 +78,11 @@
     return body;
   }
 
+  /** When the request passed the stages of its life. */
+  public RequestTimeline timeline() {
+    return timeline;
+  }
+
   /** How many attempts were started. */
   public int attempts() {
     return attempts;
@@ -89,6 +97,7 @@
   public void startAttempt() {
     attempts++;
     attemptInFlight = true;
+    timeline.reach(RequestTimeline.Stage.ATTEMPT_STARTED);
   }
 
   /**
@@ -98,6 +107,7 @@
    */
   public void endAttempt(Outcome outcome, long startedAtNanos) {
     attemptInFlight = false;
+    timeline.reach(RequestTimeline.Stage.ATTEMPT_ENDED);
     if (!outcome.provesNotExecuted() && !possiblyExecuted) {
       possiblyExecuted = true;
       firstExecutionNanos = startedAtNanos;
--- /dev/null
+++ b/src/main/java/merlinrouter/node/request/RequestTimeline.java
@@ -0,0 +1,81 @@
+package merlinrouter.node.request;
+
+import merlinrouter.time.Nanos;
+
+/**
+ * When a request passed the stages of its life, and when its client stops waiting. Moments are of
+ * {@link System#nanoTime}. Used on the event loop only.
+ */
+public final class RequestTimeline {
+  /** The stages of a request, in their usual order. */
+  public enum Stage {
+    /** The gateway has its last byte. */
+    READ,
+    /** Its quota and limits permit it; it waits in its class's queue. */
+    ADMITTED,
+    /** Its latest attempt was started. */
+    ATTEMPT_STARTED,
+    /** Its latest attempt ended. */
+    ATTEMPT_ENDED,
+    /** Its final response was written. */
+    RESPONDED
+  }
+
+  private final long arrivedAtNanos;
+  private final long clientDeadlineNanos;
+  private final long[] reachedAtNanos = new long[Stage.values().length];
+  private final boolean[] reached = new boolean[Stage.values().length];
+
+  /**
+   * Creates a timeline of a request that is not read yet.
+   *
+   * @param arrivedAtNanos the earliest moment at which its last byte may have arrived
+   * @param timeoutNanos how long its client waits from then
+   */
+  public RequestTimeline(long arrivedAtNanos, long timeoutNanos) {
+    this.arrivedAtNanos = arrivedAtNanos;
+    clientDeadlineNanos = arrivedAtNanos + timeoutNanos;
+  }
+
+  /** The earliest moment at which the request's last byte may have arrived. */
+  public long arrivedAtNanos() {
+    return arrivedAtNanos;
+  }
+
+  /** The moment at which the client stops waiting. */
+  public long clientDeadlineNanos() {
+    return clientDeadlineNanos;
+  }
+
+  /** When the final response was written; only once it was. */
+  public long respondedAtNanos() {
+    return reachedAtNanos[Stage.RESPONDED.ordinal()];
+  }
+
+  /** Records that the request reaches a stage now. */
+  public void reach(Stage stage) {
+    reach(stage, System.nanoTime());
+  }
+
+  /** Records that the request reached a stage. */
+  public void reach(Stage stage, long atNanos) {
+    reached[stage.ordinal()] = true;
+    reachedAtNanos[stage.ordinal()] = atNanos;
+  }
+
+  /** The stages with their times in milliseconds since the arrival, for a log line. */
+  public String describe() {
+    StringBuilder text = new StringBuilder("client's deadline ");
+    text.append(millisSinceArrival(clientDeadlineNanos)).append(" ms after the arrival");
+    for (Stage stage : Stage.values()) {
+      text.append(", ").append(stage).append(' ');
+      text.append(
+          reached[stage.ordinal()] ? millisSinceArrival(reachedAtNanos[stage.ordinal()]) : "-");
+    }
+    return text.toString();
+  }
+
+  private Object millisSinceArrival(long nanos) {
+    return (nanos - arrivedAtNanos) / Nanos.PER_MILLI;
+  }
+}
--- a/src/main/java/merlinrouter/node/transport/EventLoops.java
+++ b/src/main/java/merlinrouter/node/transport/EventLoops.java
@@ -25,6 +25,13 @@
     };
   }
 
+  /** As {@link #newSingleLoopGroup(IoHandlerFactory)}; a listener is told of each turn. */
+  public static EventLoopGroup newSingleLoopGroup(
+      IoHandlerFactory handlers, TurnListener turnListener) {
+    return newSingleLoopGroup(
+        executor -> new TimedIoHandler(handlers.newHandler(executor), turnListener));
+  }
+
   /**
    * Runs a task after a delay and a whole poll of the sockets that follows it, however long the
    * event loop was stalled. A task that is scheduled from within a task without a delay runs after
--- a/src/test/java/merlinrouter/node/EventLoopFixture.java
+++ b/src/test/java/merlinrouter/node/EventLoopFixture.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import merlinrouter.model.ClientRequest;
 import merlinrouter.node.request.OpenRequest;
+import merlinrouter.node.request.RequestTimeline;
 import merlinrouter.node.request.ResponseSink;
 
 /**
@@ -94,6 +95,13 @@
    * "failed"}.
    */
   static CompletableFuture<String> submitRequest(EdgeNode node, String requestId) {
+    return submitRequest(
+        node, requestId, new RequestTimeline(System.nanoTime(), REQUEST_TIMEOUT_NANOS));
+  }
+
+  /** As {@link #submitRequest(EdgeNode, String)}, with the times of the request's client. */
+  static CompletableFuture<String> submitRequest(
+      EdgeNode node, String requestId, RequestTimeline timeline) {
     CompletableFuture<String> response = new CompletableFuture<>();
     long deadlineNanos = node.deadlineNanos(node.nowNanos(), REQUEST_TIMEOUT_NANOS);
     ClientRequest request = new ClientRequest(requestId, 1, 0, 7, deadlineNanos, 1, 1, 0, false);
@@ -104,7 +112,8 @@
             "/api",
             "key-" + requestId,
             Unpooled.EMPTY_BUFFER,
-            new FutureResponseSink(response)));
+            new FutureResponseSink(response),
+            timeline));
     return response;
   }
 
