Send overdue responses before the next event is handled

Behind a stall of the event loop callers with an overdue response waited for all that had come meanwhile: Netty runs due timers behind the sockets' events and the tasks queued by them.

GatewayHost keeps the open requests by their clients' own deadlines (ClientDeadlines), and ends those that have passed before each event. Until then a response that waits in a socket still comes first, as before.

The test failed before: "the new request was handled first". Decisions of the simulator's host are untouched.

--- a/src/main/java/merlinrouter/node/EventDelivery.java
+++ b/src/main/java/merlinrouter/node/EventDelivery.java
@@ -14,12 +14,21 @@
 
   private final EventLoop loop;
   private final NodeClock clock;
+  private final Runnable beforeEvent;
+  private boolean preparing;
   private boolean delivering;
   private long eventStartedNanos;
 
-  EventDelivery(EventLoop loop, NodeClock clock) {
+  /**
+   * Creates a delivery.
+   *
+   * @param beforeEvent runs before each event, outside of one; events that it delivers do not run
+   *     it again
+   */
+  EventDelivery(EventLoop loop, NodeClock clock, Runnable beforeEvent) {
     this.loop = loop;
     this.clock = clock;
+    this.beforeEvent = beforeEvent;
   }
 
   /** Delivers an event, which gets the time, by the gateway's clock. */
@@ -38,6 +47,7 @@
       loop.execute(() -> deliver(event, onFailure));
       return;
     }
+    prepare();
     delivering = true;
     eventStartedNanos = clock.nowNanos();
     try {
@@ -50,6 +60,17 @@
     }
   }
 
+  private void prepare() {
+    if (!preparing) {
+      preparing = true;
+      try {
+        beforeEvent.run();
+      } finally {
+        preparing = false;
+      }
+    }
+  }
+
   /** Time since the event that is being delivered started, which its decisions do not see. */
   long nanosSinceEventStarted() {
     return clock.nowNanos() - eventStartedNanos;
--- a/src/main/java/merlinrouter/node/GatewayHost.java
+++ b/src/main/java/merlinrouter/node/GatewayHost.java
@@ -53,6 +53,7 @@
   private final ResponseTimes responseTimes;
   private final UpstreamPool upstreamPool;
   private final CounterClient counterClient;
+  private final ClientDeadlines clientDeadlines = new ClientDeadlines();
   private final Map<String, OpenRequest> openRequests = new HashMap<>();
   private Gateway gateway;
 
@@ -71,7 +72,7 @@
     this.budget = budget;
     this.guard = guard;
     this.responseTimes = responseTimes;
-    events = new EventDelivery(loop, clock);
+    events = new EventDelivery(loop, clock, this::endExpired);
     upstreamPool = new UpstreamPool(this, loop, config, log);
     counterClient = new CounterClient(this::counterCallEnded, loop, config);
   }
@@ -110,9 +111,25 @@
             TimeUnit.NANOSECONDS));
     budget.change(request.body().readableBytes());
     deliverOrFail(request, now -> gateway.requestReceived(now, request.clientRequest()));
+    if (!request.isResponded()) {
+      clientDeadlines.add(request);
+    }
     return true;
   }
 
+  /**
+   * Ends the requests whose clients have stopped waiting. Behind a stall of the event loop this
+   * comes before the events that came meanwhile, so that the time these take, or another stall,
+   * does not delay their responses further.
+   */
+  private void endExpired() {
+    OpenRequest request = clientDeadlines.pollExpired();
+    while (request != null) {
+      endOverdue(request);
+      request = clientDeadlines.pollExpired();
+    }
+  }
+
   /** Ends a request that the gateway has left without a response: each is owed one. */
   private void endOverdue(OpenRequest request) {
     if (!request.isResponded()) {
@@ -127,6 +144,7 @@
   /** Records that the client of an open request disconnected. */
   void clientDisconnected(OpenRequest request) {
     if (request.takeResponseSink() != null) {
+      clientDeadlines.remove(request);
       log.count(NodeLog.Event.CLIENT_DISCONNECTED);
       forgetIfEnded(request);
       deliverOrFail(request, now -> gateway.clientDisconnected(now, request.id()));
@@ -273,6 +291,7 @@
     if (sink == null) {
       return false;
     }
+    clientDeadlines.remove(request);
     response.accept(sink);
     RequestTimeline timeline = request.timeline();
     timeline.reach(RequestTimeline.Stage.RESPONDED);
--- a/src/test/java/merlinrouter/node/DeadlineRaceTest.java
+++ b/src/test/java/merlinrouter/node/DeadlineRaceTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import merlinrouter.node.request.RequestTimeline;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -139,4 +140,25 @@
         minMillis <= maxMillis,
         "forwarded " + minMillis + " ms after the stall, at most " + maxMillis + " are left");
   }
+
+  /** Behind a stall, a response that is overdue is not delayed further by what came meanwhile. */
+  @Test
+  void overdueResponseIsSentBeforeTheNextEventIsHandled() throws Exception {
+    CompletableFuture<ScriptedServer.Message> received = new CompletableFuture<>();
+    EdgeNode node = startNode(startServerThatHoldsFirst(received));
+    RequestTimeline timeline = new RequestTimeline(System.nanoTime(), STALL_NANOS);
+    CompletableFuture<String> overdue =
+        callOnEventLoop(node, () -> submitRequest(node, "t-1", timeline));
+    received.get();
+    runOnEventLoop(
+        node,
+        () -> {
+          while (System.nanoTime() - timeline.clientDeadlineNanos() < 0) {
+            Thread.onSpinWait();
+          }
+          submitRequest(node, "t-2");
+          assertTrue(overdue.isDone(), "the new request was handled first");
+        });
+    assertEquals("failed", overdue.get());
+  }
 }
