--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -22,7 +22,6 @@
 import merlinrouter.node.logging.ErrorLog;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.request.OpenRequest;
-import merlinrouter.node.request.ResponseSink;
 
 /**
  * A client connection. It handles one request at a time; pipelined requests wait undecoded until
@@ -277,7 +276,7 @@
             parsed.uri(),
             parsed.idempotencyKey(),
             content,
-            new Responder());
+            new ClientResponseSink(this, presence));
     openRequest = request;
     if (!handler.accept(request)) {
       openRequest = null;
@@ -312,7 +311,8 @@
     respond(status, Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8), 0);
   }
 
-  private void respond(HttpResponseStatus status, ByteBuf content, long retryAfterNanos) {
+  /** Writes the final response of the present request; the content is released once written. */
+  void respond(HttpResponseStatus status, ByteBuf content, long retryAfterNanos) {
     closing = !keepAlive || registry.isDraining() || registry.hasMaxIdleConnections();
     openRequest = null;
     receiving = false;
@@ -369,32 +369,4 @@
     }
     channel.close();
   }
-
-  /** Writes the final response of the open request. */
-  private final class Responder implements ResponseSink {
-    @Override
-    public void served(ByteBuf content) {
-      respond(HttpResponseStatus.OK, content.retain(), 0);
-    }
-
-    @Override
-    public void rejected(long retryAfterNanos) {
-      respond(
-          retryAfterNanos > 0
-              ? HttpResponseStatus.TOO_MANY_REQUESTS
-              : HttpResponseStatus.SERVICE_UNAVAILABLE,
-          Unpooled.EMPTY_BUFFER,
-          retryAfterNanos);
-    }
-
-    @Override
-    public void failed() {
-      respond(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
-    }
-
-    @Override
-    public boolean readAndCheckDisconnected() {
-      return presence.readAndCheckDisconnected();
-    }
-  }
 }
