Close connections with their response while other clients wait for accept

At the limit on client connections accepting resumed only when a connection closed. Clients that reuse theirs keep them open, so that others waited unaccepted for any time, their requests unread. The end of a drain reset them. While accepting pauses, each response now closes its connection; the end of a drain waits for accepting to go on.

--- a/src/main/java/merlinrouter/node/downstream/AcceptThrottle.java
+++ b/src/main/java/merlinrouter/node/downstream/AcceptThrottle.java
@@ -25,12 +25,14 @@
 
   private final NodeLog log;
   private final LongSupplier previousPollNanos;
-  private boolean failed;
   private boolean paused;
   private long pausedSinceNanos;
   private int acceptedInThisPoll;
   private boolean acceptedSinceResume;
 
+  /** How many times accepting was resumed with no whole poll of the sockets since. */
+  private int resumesWithoutPoll;
+
   /**
    * Creates a throttle that does not pause accepting.
    *
@@ -41,9 +43,14 @@
     this.previousPollNanos = previousPollNanos;
   }
 
-  /** Whether the last accept failed and has not been retried. */
-  boolean hasFailed() {
-    return failed;
+  /** Whether connections are not accepted at present: some may wait in the kernel. */
+  boolean isPaused(Channel listeningChannel) {
+    return !listeningChannel.config().isAutoRead();
+  }
+
+  /** Whether connections may wait in the kernel that no poll since the last pause could accept. */
+  boolean mayHoldConnectionsBack(Channel listeningChannel) {
+    return isPaused(listeningChannel) || resumesWithoutPoll > 0;
   }
 
   /** The earliest moment at which a connection that is accepted now may have started to wait. */
@@ -63,18 +70,20 @@
 
   /** Goes on accepting, if paused. */
   void resume(Channel listeningChannel) {
-    if (listeningChannel.config().isAutoRead()) {
+    if (!isPaused(listeningChannel)) {
       return;
     }
     acceptedSinceResume = false;
+    resumesWithoutPoll++;
     listeningChannel.config().setAutoRead(true);
-    // If the next poll accepts no connection, none had waited.
     EventLoops.runAfterNextPoll(
-        listeningChannel.eventLoop(), 0, () -> endPauseIfNoneWaited(listeningChannel));
+        listeningChannel.eventLoop(), 0, () -> polledSinceResume(listeningChannel));
   }
 
-  private void endPauseIfNoneWaited(Channel listeningChannel) {
-    if (!acceptedSinceResume && listeningChannel.config().isAutoRead()) {
+  private void polledSinceResume(Channel listeningChannel) {
+    resumesWithoutPoll--;
+    // If the poll accepted no connection, none had waited.
+    if (!acceptedSinceResume && !isPaused(listeningChannel)) {
       paused = false;
     }
   }
@@ -93,7 +102,7 @@
         context.channel().config().getRecvByteBufAllocator();
     if (acceptedInThisPoll > 0
         && acceptedInThisPoll < allocator.maxMessagesPerRead()
-        && context.channel().config().isAutoRead()) {
+        && !isPaused(context.channel())) {
       paused = false;
     }
     acceptedInThisPoll = 0;
@@ -103,16 +112,10 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     log.count(NodeLog.Event.ACCEPT_FAILED);
-    failed = true;
     Channel listeningChannel = context.channel();
     pause(listeningChannel, previousPollNanos.getAsLong());
     listeningChannel
         .eventLoop()
-        .schedule(() -> retry(listeningChannel), FAILURE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
-  private void retry(Channel listeningChannel) {
-    failed = false;
-    resume(listeningChannel);
+        .schedule(() -> resume(listeningChannel), FAILURE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
   }
 }
--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -313,7 +313,11 @@
 
   /** Writes the final response of the present request; the content is released once written. */
   void respond(HttpResponseStatus status, ByteBuf content, long retryAfterNanos) {
-    closing = !keepAlive || registry.isDraining() || registry.hasMaxIdleConnections();
+    closing =
+        !keepAlive
+            || registry.isDraining()
+            || registry.hasMaxIdleConnections()
+            || acceptThrottle.isPaused(channel.parent());
     openRequest = null;
     receiving = false;
     stateSinceNanos = System.nanoTime();
--- a/src/main/java/merlinrouter/node/downstream/ClientListener.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientListener.java
@@ -28,7 +28,7 @@
   private static final long TIMEOUT_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   /** Longer than accepting pauses after a failure ({@link AcceptThrottle}). */
-  private static final long ACCEPT_FAILURE_RECHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+  private static final long ACCEPT_PAUSE_RECHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
   private static final long BIND_RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -157,9 +157,9 @@
    * @param drained completes when no connection is left
    */
   public void stopAccepting(CompletableFuture<Void> drained) {
-    if (listeningChannel != null && acceptThrottle.hasFailed()) {
+    if (listeningChannel != null && acceptThrottle.mayHoldConnectionsBack(listeningChannel)) {
       // Closing the socket would reset connections that are established but not accepted yet.
-      EventLoops.runAfterNextPoll(loop, ACCEPT_FAILURE_RECHECK_NANOS, () -> stopAccepting(drained));
+      EventLoops.runAfterNextPoll(loop, ACCEPT_PAUSE_RECHECK_NANOS, () -> stopAccepting(drained));
       return;
     }
     registry.setDrained(drained);
--- a/src/test/java/merlinrouter/node/ShutdownRaceTest.java
+++ b/src/test/java/merlinrouter/node/ShutdownRaceTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import merlinrouter.node.config.NodeConfigReader;
@@ -132,4 +133,36 @@
     assertTrue(answeredAfterMillis < MAX_RESPONSE_MILLIS, answeredAfterMillis + " ms");
     drained.get(60, TimeUnit.SECONDS);
   }
+
+  /** A system may queue one more connection than the backlog that it is asked for. */
+  @Test
+  void drainServesFullBacklog() throws Exception {
+    int backlog = 512;
+    String config = withSetting(configJson(), "sockets", 4 * backlog);
+    EdgeNode node = startNode(config);
+    InetSocketAddress address = (InetSocketAddress) node.address();
+    CompletableFuture<Void> drained = callOnEventLoop(node, node::drain);
+    // The grace period ends in the same turn of the event loop, with no poll between.
+    List<Socket> clients =
+        node.loop()
+            .schedule(
+                () -> {
+                  List<Socket> connected = new ArrayList<>();
+                  for (int i = 0; i <= backlog; i++) {
+                    Socket client = connect(address);
+                    resources.add(client);
+                    writeRequest(client, "GET /_health", Map.of(), "");
+                    connected.add(client);
+                  }
+                  Thread.sleep(STALL_BEYOND_GRACE_MILLIS);
+                  return connected;
+                },
+                0,
+                TimeUnit.NANOSECONDS)
+            .get();
+    for (Socket client : clients) {
+      readStatus(client);
+    }
+    drained.get(60, TimeUnit.SECONDS);
+  }
 }
