Close no connection over a request of which a part was read

An eviction closed a connection that had received a part of its first request without a look at its socket, where the rest may wait, and without a response. Whole lines of a head are decoded at once, so that a connection with exactly these looked idle to a drain and to the idle timeout. The timeout of a request did not look at the socket either. Now the socket is read first in each case, an eviction takes such a connection last and refuses the request with a 503.

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -132,7 +132,7 @@
 
   /** Called by the decoder after each read, when all that may be decoded has been. */
   private void bytesDecoded() {
-    if (isBetweenRequests() && !closing && decoder.undecodedBytes() > 0) {
+    if (isBetweenRequests() && !closing && decoder.hasPartOfRequest()) {
       startReceiving();
     }
     updateBudget();
@@ -168,7 +168,9 @@
     }
     long elapsedNanos = System.nanoTime() - stateSinceNanos;
     if (receiving && !closing && elapsedNanos > REQUEST_TIMEOUT_NANOS) {
-      refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come");
+      if (!hasUnreadRequest() && !closing) {
+        refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come");
+      }
     } else if ((closing || !receiving) && elapsedNanos > IDLE_TIMEOUT_NANOS) {
       initiateClose("idle timeout");
     }
@@ -180,21 +182,32 @@
       return false;
     }
     handler.log().count(NodeLog.Event.IDLE_CLOSED);
-    closing = true;
-    channel.close();
+    if (receiving && !closing) {
+      // The client may be sending the rest.
+      refuseAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, reason);
+    } else {
+      closing = true;
+      channel.close();
+    }
     return true;
   }
 
   /**
-   * Whether bytes of a request have arrived that were not read yet; reads them. The event loop may
-   * have stalled since it last polled its sockets.
+   * Whether the next request, or the rest of the one that is being received, has arrived and not
+   * been handled; reads it. The event loop may have stalled since it last polled its sockets.
    */
   private boolean hasUnreadRequest() {
-    if (closing || !isBetweenRequests()) {
+    if (closing || openRequest != null) {
       return false;
     }
+    boolean betweenRequests = isBetweenRequests();
     presence.readAvailable();
-    return channel.isActive() && !isBetweenRequests();
+    return channel.isActive() && (betweenRequests ? !isBetweenRequests() : isRequestComplete());
+  }
+
+  /** Whether a whole request has been received that {@link #handleRequest} is still to handle. */
+  private boolean isRequestComplete() {
+    return head != null && decoder.isPaused();
   }
 
   @Override
--- a/src/main/java/merlinrouter/node/downstream/ConnectionRegistry.java
+++ b/src/main/java/merlinrouter/node/downstream/ConnectionRegistry.java
@@ -48,30 +48,39 @@
     connections.remove(connection);
   }
 
+  /** Closes a connection that no request is open on, so that its client does not lose one. */
+  private boolean evictFor(TrackedConnection newest) {
+    TrackedConnection candidate = evictionCandidate(newest);
+    if (candidate == null) {
+      return false;
+    }
+    // A request may have arrived on it meanwhile; then it is no candidate any more.
+    return candidate.initiateClose("evicted for a new connection") || evictFor(newest);
+  }
+
   /**
-   * Closes a connection that no request is open on, so that its client does not lose one: the
-   * oldest that never received a whole request, else the one that has been idle longest. Without
-   * this, silent clients could occupy all connections.
+   * The oldest connection that never received anything, else the one that has been idle longest,
+   * else the oldest that has received a part of its first request. Without this, silent clients
+   * could occupy all connections. Null if there is none.
    */
-  private boolean evictFor(TrackedConnection newest) {
-    TrackedConnection candidate = null;
+  private TrackedConnection evictionCandidate(TrackedConnection newest) {
+    TrackedConnection idleLongest = null;
+    TrackedConnection incomplete = null;
     for (TrackedConnection connection : connections) {
       if (connection == newest || connection.isClosing() || connection.hasOpenRequest()) {
         continue;
       }
-      if (!connection.hasReceivedRequest()) {
-        candidate = connection;
-        break;
-      }
-      if (connection.isBetweenRequests() && isIdleLonger(connection, candidate)) {
-        candidate = connection;
+      boolean firstRequest = !connection.hasReceivedRequest();
+      if (connection.isBetweenRequests()) {
+        if (firstRequest) {
+          return connection;
+        }
+        idleLongest = isIdleLonger(connection, idleLongest) ? connection : idleLongest;
+      } else if (firstRequest && incomplete == null) {
+        incomplete = connection;
       }
     }
-    if (candidate == null) {
-      return false;
-    }
-    // A request may have arrived on it meanwhile; then it is no candidate any more.
-    return candidate.initiateClose("evicted for a new connection") || evictFor(newest);
+    return idleLongest != null ? idleLongest : incomplete;
   }
 
   private static boolean isIdleLonger(TrackedConnection connection, TrackedConnection other) {
--- a/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ByteProcessor;
 import java.util.List;
 import java.util.function.LongSupplier;
 
@@ -19,6 +20,10 @@
   private final ArrivalTimes arrivalTimes = new ArrivalTimes();
   private long requestArrivedNanos;
   private ChannelHandlerContext context;
+
+  /** Whether a request has been decoded in part; of a head, only whole lines are decoded. */
+  private boolean partDecoded;
+
   private boolean paused;
   private boolean stopped;
 
@@ -64,15 +69,23 @@
     if (stopped) {
       input.skipBytes(input.readableBytes());
     } else if (!paused) {
+      int startIndex = input.readerIndex();
       super.decode(decodeContext, input, output);
       paused = !output.isEmpty() && output.get(output.size() - 1) instanceof LastHttpContent;
       long lastByteArrivedNanos = arrivalTimes.decodedUpTo(input.readableBytes());
       if (paused) {
         requestArrivedNanos = lastByteArrivedNanos;
       }
+      partDecoded = !paused && (partDecoded || isMoreThanLineEnds(input, startIndex));
     }
   }
 
+  /** Whether the bytes from an index to the reader index are not only line ends, as may stray. */
+  private static boolean isMoreThanLineEnds(ByteBuf input, int startIndex) {
+    int length = input.readerIndex() - startIndex;
+    return input.forEachByte(startIndex, length, ByteProcessor.FIND_NON_CRLF) >= 0;
+  }
+
   /** The earliest moment at which the last byte of the last decoded request may have arrived. */
   long requestArrivedNanos() {
     return requestArrivedNanos;
@@ -83,6 +96,11 @@
     return actualReadableBytes();
   }
 
+  /** Whether bytes of a request have been received that is not decoded as a whole yet. */
+  boolean hasPartOfRequest() {
+    return partDecoded || undecodedBytes() > 0;
+  }
+
   /** Whether bytes that are received now wait undecoded. */
   boolean isPaused() {
     return paused;
--- a/src/main/java/merlinrouter/node/downstream/TrackedConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/TrackedConnection.java
@@ -28,8 +28,9 @@
   void enforceTimeouts();
 
   /**
-   * Closes it on the node's initiative, unless a request has arrived on it unread while it was
-   * between requests. Does nothing either, apart from counting a violation, if a request is open.
+   * Closes it on the node's initiative, unless the next request, or the rest of the one that it is
+   * receiving, has arrived unread. A request that it has received in part is refused. Does nothing
+   * either, apart from counting a violation, if a request is open.
    *
    * @return whether it is being closed
    */
--- a/src/test/java/merlinrouter/node/ClientConnectionLimitTest.java
+++ b/src/test/java/merlinrouter/node/ClientConnectionLimitTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -51,6 +53,20 @@
     return waiting;
   }
 
+  private static byte[] requestBytes(String requestId) {
+    String head = requestHead("POST /api", requestHeaders(requestId, "order", "20000"));
+    return (head + "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY)
+        .getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Sends all but the last two bytes of a request, and waits until they are read. */
+  private Socket connectWithPartOfRequest(EdgeNode node, byte[] request) throws Exception {
+    Socket client = connect(node);
+    client.getOutputStream().write(request, 0, request.length - 2);
+    awaitOnEventLoop(node, () -> node.usedRequestBytes() > 0);
+    return client;
+  }
+
   /** Else clients that keep their connections would leave no room for others, however long. */
   @Test
   void connectionClosesWithItsResponseWhileOtherClientsWaitForAccept() throws Exception {
@@ -79,4 +95,38 @@
     readStatus(waiting);
     drained.get(60, TimeUnit.SECONDS);
   }
+
+  /** The event loop accepts a connection, and closes another one for it, before it reads that. */
+  @Test
+  void connectionIsNotEvictedOverRequestWhoseRestHasArrivedUnread() throws Exception {
+    CompletableFuture<Void> proceed = new CompletableFuture<>();
+    EdgeNode node = startLimitedNode(startOkServer("x", proceed));
+    byte[] request = requestBytes("p-1");
+    Socket client = connectWithPartOfRequest(node, request);
+    openRequests(node, MAX_CONNECTIONS - 2);
+    InetSocketAddress address = (InetSocketAddress) node.address();
+    Socket newest =
+        callOnEventLoop(
+            node,
+            () -> {
+              Socket connected = connect(address);
+              client.getOutputStream().write(request, request.length - 2, 2);
+              return connected;
+            });
+    resources.add(newest);
+    proceed.complete(null);
+    assertEquals("200", readStatus(client));
+  }
+
+  /** Its client may be sending the rest, and would get no response at all. */
+  @Test
+  void evictedConnectionThatHasReceivedPartOfRequestGetsResponse() throws Exception {
+    EdgeNode node = startLimitedNode(startOkServer("x", new CompletableFuture<>()));
+    Socket client = connectWithPartOfRequest(node, requestBytes("p-1"));
+    openRequests(node, MAX_CONNECTIONS - 2);
+    connect(node);
+    ScriptedServer.Message response = ScriptedServer.readMessage(client);
+    assertEquals("503", status(response));
+    assertEquals("close", response.headers().get("connection"));
+  }
 }
--- a/src/test/java/merlinrouter/node/ClientRaceTest.java
+++ b/src/test/java/merlinrouter/node/ClientRaceTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +23,7 @@
   private static final long STALL_BEYOND_TIMEOUT_CHECK_MILLIS = 300;
 
   private static final long STALL_BEYOND_IDLE_TIMEOUT_MILLIS = 2_200;
+  private static final long STALL_BEYOND_REQUEST_TIMEOUT_MILLIS = 2_700;
 
   private static final String NOT_EXECUTED_RESPONSE =
       "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
@@ -261,4 +263,33 @@
         });
     assertEquals("200", readStatus(client));
   }
+
+  /** As above; the rest of a request comes while the event loop is stalled. */
+  @Test
+  void requestCompletedDuringEventLoopStallIsNotTimedOut() throws Exception {
+    EdgeNode node = startNode(startOkServer("x"));
+    Socket client = connect(node);
+    String head = requestHead("POST /api", requestHeaders("t-1", "order", "20000"));
+    writeText(client, head + "Content-Length: 4\r\n\r\nbo");
+    awaitOnEventLoop(node, () -> node.usedRequestBytes() > 0);
+    runOnEventLoop(
+        node,
+        () -> {
+          node.loop()
+              .schedule(
+                  () -> {
+                    writeText(client, "ok");
+                    Thread.sleep(STALL_BEYOND_REQUEST_TIMEOUT_MILLIS);
+                    return null;
+                  },
+                  0,
+                  TimeUnit.NANOSECONDS);
+          Thread.sleep(STALL_BEYOND_TIMEOUT_CHECK_MILLIS);
+        });
+    assertEquals("200", readStatus(client));
+  }
+
+  private static void writeText(Socket client, String text) throws IOException {
+    client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+  }
 }
--- a/src/test/java/merlinrouter/node/ShutdownRaceTest.java
+++ b/src/test/java/merlinrouter/node/ShutdownRaceTest.java
@@ -134,6 +134,24 @@
     drained.get(60, TimeUnit.SECONDS);
   }
 
+  /** The decoder holds none of these bytes any more: a whole line of a head is parsed at once. */
+  @Test
+  void drainDoesNotCloseConnectionThatHasReceivedTheFirstLineOfRequest() throws Exception {
+    EdgeNode node = startNode(startOkServer("x"));
+    Socket client = connect(node);
+    String head = requestHead("POST /api", requestHeaders("t-1", "order", "20000"));
+    String request = head + "Content-Length: 4\r\n\r\nbook";
+    int firstLineBytes = request.indexOf('\n') + 1;
+    byte[] bytes = request.getBytes(StandardCharsets.UTF_8);
+    client.getOutputStream().write(bytes, 0, firstLineBytes);
+    callOnEventLoop(node, () -> null);
+    CompletableFuture<Void> drained = callOnEventLoop(node, node::drain);
+    node.loop().schedule(() -> {}, STALL_BEYOND_GRACE_MILLIS, TimeUnit.MILLISECONDS).get();
+    client.getOutputStream().write(bytes, firstLineBytes, bytes.length - firstLineBytes);
+    readStatus(client);
+    drained.get(60, TimeUnit.SECONDS);
+  }
+
   /** A system may queue one more connection than the backlog that it is asked for. */
   @Test
   void drainServesFullBacklog() throws Exception {
--- a/src/test/java/merlinrouter/node/downstream/ConnectionRegistryTest.java
+++ b/src/test/java/merlinrouter/node/downstream/ConnectionRegistryTest.java
@@ -145,6 +145,21 @@
     assertNull(newerSilent.closeReason);
   }
 
+  @Test
+  void aConnectionThatReceivesItsFirstRequestIsEvictedLast() {
+    ScriptedConnection receiving = new ScriptedConnection();
+    receiving.receiving = true;
+    ScriptedConnection idle = ScriptedConnection.idleSince(1);
+    registry.add(receiving);
+    registry.add(idle);
+    fillWithOpenRequests(MAX_CONNECTIONS - 3);
+    assertTrue(registry.add(ScriptedConnection.withOpenRequest()));
+    assertEquals("evicted for a new connection", idle.closeReason);
+    assertNull(receiving.closeReason);
+    assertTrue(registry.add(ScriptedConnection.withOpenRequest()));
+    assertEquals("evicted for a new connection", receiving.closeReason);
+  }
+
   @Test
   void idleConnectionsAreCountedUpToTheirLimit() {
     for (int i = 0; i < MAX_IDLE_CONNECTIONS - 1; i++) {
