Decode no pipelined request over one that is still to be handled

A response that fills the write buffer makes the connection go on twice: from the writability event and from the task behind the response. The second time may come while a decoded request waits for its task; the next one then replaced it. Its client got no response and the task failed.

The test failed before: the connection ended without the last response.

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -342,7 +342,8 @@
 
   /** Goes on to pipelined requests, unless the client does not even read its responses. */
   private void resumeDecoding() {
-    if (openRequest != null || closing || !channel.isActive() || !channel.isWritable()) {
+    boolean busy = openRequest != null || isRequestComplete();
+    if (busy || closing || !channel.isActive() || !channel.isWritable()) {
       return;
     }
     channel.config().setAutoRead(true);
--- a/src/test/java/merlinrouter/node/ClientRaceTest.java
+++ b/src/test/java/merlinrouter/node/ClientRaceTest.java
@@ -289,6 +289,23 @@
     assertEquals("200", readStatus(client));
   }
 
+  /** A response that fills the write buffer makes the connection go on twice. */
+  @Test
+  void pipelinedRequestsBehindLargeResponseAllGetResponses() throws Exception {
+    int pipelined = 4;
+    CompletableFuture<ScriptedServer.Message> firstRequest = new CompletableFuture<>();
+    EdgeNode node = startNode(startServerThatHoldsFirst(firstRequest));
+    Socket client = connect(node);
+    writeKeyedRequest(client, "t-1");
+    ScriptedServer.Message attempt = firstRequest.get();
+    writeText(client, "GET /_health HTTP/1.1\r\n\r\n".repeat(pipelined));
+    awaitOnEventLoop(node, () -> node.usedRequestBytes() > 100);
+    attempt.respond(ScriptedServer.okResponse("", "x".repeat(64 * 1024)));
+    for (int i = 0; i < 1 + pipelined; i++) {
+      readStatus(client);
+    }
+  }
+
   private static void writeText(Socket client, String text) throws IOException {
     client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
   }
