Explore the orders of a gateway's events by seed and by permutation

A host of virtual time drives the gateway with requests, list changes, disconnects, a drain, ends of attempts and counter calls, and stalls of its event loop, after which what is due comes in random order. Each request must get one response in time, and no attempt may begin after the end of its request. A failure prints its seed or order and the sequence of events.

--- /dev/null
+++ b/src/test/java/merlinrouter/node/EventOrderExplorationTest.java
@@ -0,0 +1,268 @@
+package merlinrouter.node;
+
+import static merlinrouter.settings.TestSettings.IDEMPOTENT;
+import static merlinrouter.settings.TestSettings.UNLIMITED;
+import static merlinrouter.time.Nanos.PER_MILLI;
+import static merlinrouter.time.Nanos.PER_SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import merlinrouter.model.EndpointState;
+import merlinrouter.model.Outcome;
+import merlinrouter.settings.QuotaPlan;
+import merlinrouter.settings.TestSettings;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Each request gets one final response in time, unless its client leaves, in whatever order events
+ * come: orders by seed, and all orders of a few events. A failure names its seed or order and the
+ * sequence of events.
+ */
+class EventOrderExplorationTest {
+  private static final int SEEDS = 1_500;
+  private static final int STEPS = 60;
+  private static final int GATEWAYS = 3;
+  private static final long[] TIMEOUTS_MILLIS = {1, 15, 60, 200, 480, 1_000, 2_000};
+  private static final long[] STALLS_MILLIS = {150, 300, 600};
+  private static final String[] ENDPOINTS = {"a", "b", "c"};
+
+  /** Longer than any timeout of a request. */
+  private static final long LAST_RESPONSE_NANOS = 4 * PER_SECOND;
+
+  /** Longer than endpoints are ejected or in slow start. */
+  private static final long RECOVERY_NANOS = 120 * PER_SECOND;
+
+  private static final List<QuotaPlan> PLANS =
+      List.of(
+          UNLIMITED,
+          TestSettings.quota(20, 15),
+          new QuotaPlan(0, 0, 2, 1, 0, 0, 0, 0, 0),
+          new QuotaPlan(20, 15, 0, 1, 0.9, 0.5, 40, 30, 2));
+
+  private static final Outcome[] ATTEMPT_OUTCOMES = {
+    Outcome.OK,
+    Outcome.OK,
+    Outcome.OK,
+    Outcome.ERROR,
+    Outcome.REJECTED,
+    Outcome.RESET,
+    Outcome.CONNECT_FAILED,
+    Outcome.NOT_SENT,
+    null
+  };
+
+  private static final Outcome[] COUNTER_OUTCOMES = {
+    Outcome.OK, Outcome.OK, Outcome.REJECTED, Outcome.RESET, Outcome.CONNECT_FAILED, null
+  };
+
+  private static long millis(long count) {
+    return count * PER_MILLI;
+  }
+
+  /** Random ends until all is well. */
+  private static final class RandomFates implements VirtualTimeHost.Fates {
+    private final SplittableRandom random;
+    private boolean allWell;
+
+    RandomFates(SplittableRandom random) {
+      this.random = random;
+    }
+
+    @Override
+    public VirtualTimeHost.Fate ofAttempt() {
+      return fate(ATTEMPT_OUTCOMES, 400);
+    }
+
+    @Override
+    public VirtualTimeHost.Fate ofCounterCall() {
+      return fate(COUNTER_OUTCOMES, 60);
+    }
+
+    private VirtualTimeHost.Fate fate(Outcome[] outcomes, int maxDelayMillis) {
+      Outcome outcome = outcomes[random.nextInt(outcomes.length)];
+      long delayNanos = random.nextLong(millis(maxDelayMillis));
+      return allWell
+          ? new VirtualTimeHost.Fate(Outcome.OK, PER_MILLI)
+          : new VirtualTimeHost.Fate(outcome, delayNanos);
+    }
+  }
+
+  @Test
+  void eachRequestGetsOneResponseInTimeInRandomOrdersOfEvents() {
+    for (long seed = 0; seed < SEEDS; seed++) {
+      explore(seed);
+    }
+  }
+
+  private static void explore(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    RandomFates fates = new RandomFates(random.split());
+    QuotaPlan plan = PLANS.get(random.nextInt(PLANS.size()));
+    boolean counterPresent = random.nextInt(4) > 0;
+    VirtualTimeHost host =
+        new VirtualTimeHost(
+            TestSettings.gateway(plan, GATEWAYS, 0, counterPresent, false), fates, seed);
+    try {
+      long endNanos = scheduleSteps(host, random);
+      host.runUntil(endNanos + LAST_RESPONSE_NANOS);
+      host.checkAllOver();
+      if (!host.isDraining()) {
+        checkNothingIsLeaked(host, fates, endNanos + LAST_RESPONSE_NANOS);
+      }
+    } catch (AssertionError | RuntimeException e) {
+      throw new AssertionError("seed " + seed + ": " + e + "\n" + host.trace(), e);
+    }
+  }
+
+  /** Schedules all that happens from outside; returns the moment of the last step. */
+  private static long scheduleSteps(VirtualTimeHost host, SplittableRandom random) {
+    List<VirtualTimeHost.Request> requests = new ArrayList<>();
+    long atNanos = 0;
+    for (int i = 0; i < STEPS; i++) {
+      // Often several steps at one moment.
+      atNanos += random.nextInt(3) == 0 ? 0 : random.nextLong(millis(40));
+      int kind = random.nextInt(20);
+      if (kind < 10 || requests.isEmpty()) {
+        requests.add(requestAt(host, random, atNanos, "r" + i));
+      } else if (kind < 12) {
+        VirtualTimeHost.Request request = requests.get(random.nextInt(requests.size()));
+        host.at(atNanos, () -> host.disconnect(request));
+      } else if (kind < 17) {
+        updateEndpointsAt(host, random, atNanos);
+      } else if (kind < 19) {
+        long stallNanos = millis(STALLS_MILLIS[random.nextInt(STALLS_MILLIS.length)]);
+        host.at(atNanos, () -> host.stall(stallNanos));
+      } else if (i > STEPS / 2) {
+        host.at(atNanos, host::drain);
+      }
+    }
+    return atNanos;
+  }
+
+  private static VirtualTimeHost.Request requestAt(
+      VirtualTimeHost host, SplittableRandom random, long atNanos, String id) {
+    int classIndex = random.nextInt(TestSettings.requestClasses().size());
+    long customer = 1 + random.nextInt(3);
+    double units = 1 + random.nextInt(3);
+    long timeoutNanos = millis(TIMEOUTS_MILLIS[random.nextInt(TIMEOUTS_MILLIS.length)]);
+    return host.requestAt(atNanos, id, classIndex, customer, units, timeoutNanos);
+  }
+
+  /** All endpoints, or one of them, change to one state. */
+  private static void updateEndpointsAt(
+      VirtualTimeHost host, SplittableRandom random, long atNanos) {
+    boolean all = random.nextBoolean();
+    int only = random.nextInt(ENDPOINTS.length);
+    boolean startsNow = random.nextInt(4) == 0;
+    int kind = random.nextInt(5);
+    EndpointState state =
+        kind < 3 ? EndpointState.READY : kind == 3 ? EndpointState.DRAINING : EndpointState.REMOVED;
+    for (int i = 0; i < ENDPOINTS.length; i++) {
+      String id = ENDPOINTS[i];
+      if (all || i == only) {
+        host.at(atNanos, () -> host.updateEndpoint(id, state, startsNow));
+      }
+    }
+  }
+
+  /** With all endpoints back, a request is sent at once, as to a new gateway. */
+  private static void checkNothingIsLeaked(
+      VirtualTimeHost host, RandomFates fates, long fromNanos) {
+    fates.allWell = true;
+    for (String id : ENDPOINTS) {
+      host.at(fromNanos, () -> host.updateEndpoint(id, EndpointState.READY, false));
+    }
+    long probeNanos = fromNanos + RECOVERY_NANOS;
+    VirtualTimeHost.Request probe =
+        host.requestAt(probeNanos, "probe", IDEMPOTENT, 1, 1, millis(2_000));
+    host.runUntil(probeNanos + millis(100));
+    host.checkAllOver();
+    assertEquals(1, probe.attempts(), "attempts of a request when all is well");
+  }
+
+  /** One of the events whose orders are all tried. */
+  private enum Step {
+    REQUEST,
+    COUNTER_CALL_ENDS,
+    ENDPOINTS_LEAVE,
+    ENDPOINTS_RETURN,
+    ATTEMPT_IS_REJECTED,
+    CLIENT_LEAVES,
+    STALL
+  }
+
+  /** Attempts and calls end by a step or by their timeouts only. */
+  private static final class NoFates implements VirtualTimeHost.Fates {
+    private static final VirtualTimeHost.Fate TIMEOUT = new VirtualTimeHost.Fate(null, 0);
+
+    @Override
+    public VirtualTimeHost.Fate ofAttempt() {
+      return TIMEOUT;
+    }
+
+    @Override
+    public VirtualTimeHost.Fate ofCounterCall() {
+      return TIMEOUT;
+    }
+  }
+
+  @Test
+  void eachRequestGetsOneResponseInTimeInAllOrdersOfFewEvents() {
+    List<Step> steps = List.of(Step.values());
+    for (long gapMillis : new long[] {0, 15, 60}) {
+      permute(new ArrayList<>(), steps, gapMillis);
+    }
+  }
+
+  private static void permute(List<Step> done, List<Step> left, long gapMillis) {
+    if (left.isEmpty()) {
+      runInOrder(done, gapMillis);
+      return;
+    }
+    for (Step next : left) {
+      List<Step> nowDone = new ArrayList<>(done);
+      nowDone.add(next);
+      permute(nowDone, left.stream().filter(step -> step != next).toList(), gapMillis);
+    }
+  }
+
+  private static void runInOrder(List<Step> order, long gapMillis) {
+    VirtualTimeHost host =
+        new VirtualTimeHost(
+            TestSettings.gateway(TestSettings.quota(20, 5), GATEWAYS, 0, true, false),
+            new NoFates(),
+            1);
+    try {
+      host.updateEndpoint("a", EndpointState.READY, false);
+      VirtualTimeHost.Request request =
+          host.requestAt(
+              order.indexOf(Step.REQUEST) * millis(gapMillis), "r", IDEMPOTENT, 1, 1, millis(480));
+      for (int i = 0; i < order.size(); i++) {
+        Step step = order.get(i);
+        host.at(i * millis(gapMillis), () -> perform(host, request, step));
+      }
+      host.runUntil(LAST_RESPONSE_NANOS);
+      host.checkAllOver();
+    } catch (AssertionError | RuntimeException e) {
+      throw new AssertionError(
+          order + ", " + gapMillis + " ms apart: " + e + "\n" + host.trace(), e);
+    }
+  }
+
+  private static void perform(VirtualTimeHost host, VirtualTimeHost.Request request, Step step) {
+    switch (step) {
+      case REQUEST -> {
+        // Scheduled with its arrival.
+      }
+      case COUNTER_CALL_ENDS -> host.endOldestCounterCall(Outcome.OK);
+      case ENDPOINTS_LEAVE -> host.updateEndpoint("a", EndpointState.REMOVED, false);
+      case ENDPOINTS_RETURN -> host.updateEndpoint("a", EndpointState.READY, false);
+      case ATTEMPT_IS_REJECTED -> host.endOldestAttempt(Outcome.REJECTED);
+      case CLIENT_LEAVES -> host.disconnect(request);
+      case STALL -> host.stall(millis(300));
+      default -> throw new IllegalArgumentException(step.toString());
+    }
+  }
+}
