Reject a request at once that is sent again during the counter call of its first sending

The host forgets a request whose client disconnected before an attempt; the gateway keeps it until its counter call ends, and ignored another request with its id. The second sending was failed at its deadline by the timer for overdue requests. The gateway now rejects it: neither was attempted.

--- a/src/main/java/merlinrouter/gateway/Gateway.java
+++ b/src/main/java/merlinrouter/gateway/Gateway.java
@@ -106,7 +106,12 @@
       actions.reject(request.id(), 0);
       return;
     }
-    if (dispatcher.get(request.id()) != null) {
+    PendingRequest sameId = dispatcher.get(request.id());
+    if (sameId != null) {
+      if (sameId.state() == RequestState.ABANDONED_AWAITING_COUNTER) {
+        // Neither was attempted; hosts know nothing of the first one any more.
+        actions.reject(request.id(), 0);
+      }
       return;
     }
     PendingRequest pending = open(request);
--- a/src/main/java/merlinrouter/gateway/GatewayEvents.java
+++ b/src/main/java/merlinrouter/gateway/GatewayEvents.java
@@ -18,7 +18,8 @@
 
   /**
    * A request arrived; exactly one final response is owed. A request with the id of one that is
-   * open is ignored: a host must not deliver it.
+   * open is ignored: a host must not deliver it. It is rejected if the client of that one
+   * disconnected before an attempt.
    */
   void requestReceived(long nowNanos, ClientRequest request);
 
--- a/src/test/java/merlinrouter/gateway/FinalResponseTest.java
+++ b/src/test/java/merlinrouter/gateway/FinalResponseTest.java
@@ -8,7 +8,9 @@
 
 import java.util.List;
 import merlinrouter.model.AttemptResult;
+import merlinrouter.model.ClientRequest;
 import merlinrouter.model.Outcome;
+import merlinrouter.settings.TestSettings;
 import org.junit.jupiter.api.Test;
 
 /** Each request gets one final response, unless its client disconnects first. */
@@ -53,4 +55,20 @@
     alone.request(IDEMPOTENT, 0);
     assertEquals(1, alone.attempts.size());
   }
+
+  /** The host has forgotten the first one; the gateway still waits for the counter. */
+  @Test
+  void aRequestWithTheIdOfOneWhoseClientLeftDuringItsCounterCallIsRejectedAtOnce() {
+    SimulatedHost counting = new SimulatedHost(TestSettings.quota(20, 15), 3, 0).withEndpoints(1);
+    String id = counting.request(IDEMPOTENT, 1);
+    SimulatedHost.CounterCall call = counting.takeCounterCalls().get(0);
+    counting.gateway.clientDisconnected(counting.nowNanos, id);
+    long deadlineNanos = counting.nowNanos + 3 * PER_SECOND;
+    counting.gateway.requestReceived(
+        counting.nowNanos, new ClientRequest(id, IDEMPOTENT, 0, 1, deadlineNanos, 1, 3, 0, false));
+    assertEquals(List.of(id), counting.rejected);
+    counting.answerCounterCall(call, 1);
+    assertEquals(List.of(id), counting.rejected);
+    assertEquals(List.of(), counting.attempts);
+  }
 }
--- a/src/test/java/merlinrouter/node/ClientRaceTest.java
+++ b/src/test/java/merlinrouter/node/ClientRaceTest.java
@@ -99,6 +99,23 @@
     assertEquals("t-2", server.awaitRequest().requestId());
   }
 
+  /** The request's id is still known to the gateway, though not to its host. */
+  @Test
+  void requestSentAgainDuringCounterCallOfItsFirstSendingGetsResponse() throws Exception {
+    CompletableFuture<Void> proceed = new CompletableFuture<>();
+    letCounterRespondAfter(proceed);
+    EdgeNode node = startNode(slowCounterConfig(startOkServer("x")));
+    Socket client = connect(node);
+    writeRequest(client, "POST /api", countedRequestHeaders("t-1"), "book");
+    counter.awaitRequest();
+    client.close();
+    awaitAllDisconnected(node);
+    Socket again = connect(node);
+    writeRequest(again, "POST /api", countedRequestHeaders("t-1"), "book");
+    assertEquals("503", readStatus(again));
+    proceed.complete(null);
+  }
+
   /** The close is behind the pipelined requests, so the node must read these to see it. */
   @Test
   void requestIsNotSentIfClientPipelinesAndDisconnectsDuringCounterCall() throws Exception {
