--- a/src/test/java/merlinrouter/node/EventOrderExplorationTest.java
+++ b/src/test/java/merlinrouter/node/EventOrderExplorationTest.java
@@ -124,10 +124,12 @@
       // Often several steps at one moment.
       atNanos += random.nextInt(3) == 0 ? 0 : random.nextLong(millis(40));
       int kind = random.nextInt(20);
-      if (kind < 10 || requests.isEmpty()) {
+      if (kind < 9 || requests.isEmpty()) {
         requests.add(requestAt(host, random, atNanos, "r" + i));
-      } else if (kind < 12) {
-        VirtualTimeHost.Request request = requests.get(random.nextInt(requests.size()));
+      } else if (kind < 13) {
+        // One of the last, which may be open.
+        int back = 1 + random.nextInt(Math.min(3, requests.size()));
+        VirtualTimeHost.Request request = requests.get(requests.size() - back);
         host.at(atNanos, () -> host.disconnect(request));
       } else if (kind < 17) {
         updateEndpointsAt(host, random, atNanos);
--- a/src/test/java/merlinrouter/node/VirtualTimeHost.java
+++ b/src/test/java/merlinrouter/node/VirtualTimeHost.java
@@ -3,12 +3,9 @@
 import static merlinrouter.time.Nanos.PER_MILLI;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Random;
 import merlinrouter.gateway.Gateway;
 import merlinrouter.gateway.GatewayActions;
 import merlinrouter.model.AttemptResult;
@@ -22,9 +19,8 @@
 
 /**
  * A gateway with a host of virtual time, which has the duties of {@link GatewayHost} except for its
- * last resort, the timer that fails overdue requests. Its event loop runs what is due, in the order
- * of time; what has become due during a stall runs in random order. It checks each action against
- * the rules of the service and records what happens.
+ * last resort, the timer that fails overdue requests. It checks each action against the rules of
+ * the service and records what happens.
  */
 final class VirtualTimeHost implements GatewayActions {
   /** The interval of the gateway's timer: a request is given up at a timer. */
@@ -45,10 +41,6 @@
     Fate ofCounterCall();
   }
 
-  private record Event(long dueNanos, long number, Runnable action) {}
-
-  private record Stall(long startNanos, long endNanos) {}
-
   /** A request and what its client has got. */
   static final class Request {
     private final String id;
@@ -79,16 +71,9 @@
 
   private final GatewaySettings settings;
   private final Fates fates;
-  private final Random shuffling;
   private final DeadlineMargin margin = new DeadlineMargin(1);
   private final ShutdownDeadline shutdownDeadline;
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(
-          (a, b) ->
-              a.dueNanos == b.dueNanos
-                  ? Long.compare(a.number, b.number)
-                  : Long.compare(a.dueNanos, b.dueNanos));
-  private final List<Stall> stalls = new ArrayList<>();
+  private final VirtualEventLoop loop;
   private final Map<String, Request> requests = new HashMap<>();
   private final Map<String, Endpoint> endpoints = new HashMap<>();
   private final List<Runnable> openAttempts = new ArrayList<>();
@@ -97,15 +82,13 @@
   private final Gateway gateway;
   private Outcome endOpenWith;
   private boolean draining;
-  private long nowNanos = START_NANOS;
-  private long eventCount;
 
   VirtualTimeHost(GatewaySettings settings, Fates fates, long seed) {
     this.settings = settings;
     this.fates = fates;
-    shuffling = new Random(seed);
+    loop = new VirtualEventLoop(START_NANOS, seed);
     shutdownDeadline = new ShutdownDeadline(settings.requestClasses());
-    gateway = new Gateway(settings, seed, nowNanos, this);
+    gateway = new Gateway(settings, seed, loop.nowNanos(), this);
   }
 
   /** What has happened, one line for each event and action. */
@@ -114,7 +97,7 @@
   }
 
   private void record(String line) {
-    long micros = (nowNanos - START_NANOS) / NANOS_PER_MICRO;
+    long micros = (loop.nowNanos() - START_NANOS) / NANOS_PER_MICRO;
     trace.append(micros).append(" us: ").append(line).append('\n');
   }
 
@@ -126,37 +109,18 @@
 
   /** Lets something happen at a moment, in nanoseconds from the start, or when a stall ends. */
   void at(long afterStartNanos, Runnable action) {
-    schedule(START_NANOS + afterStartNanos, action);
-  }
-
-  private void schedule(long dueNanos, Runnable action) {
-    events.add(new Event(dueNanos, eventCount++, action));
+    loop.schedule(START_NANOS + afterStartNanos, action);
   }
 
   /** Runs the event loop up to a moment, in nanoseconds from the start. */
   void runUntil(long afterStartNanos) {
-    long untilNanos = START_NANOS + afterStartNanos;
-    while (!events.isEmpty() && events.peek().dueNanos <= untilNanos) {
-      long dueNanos = events.peek().dueNanos;
-      boolean late = dueNanos < nowNanos;
-      nowNanos = Math.max(nowNanos, dueNanos);
-      List<Event> due = new ArrayList<>();
-      while (!events.isEmpty() && events.peek().dueNanos <= nowNanos) {
-        due.add(events.poll());
-      }
-      if (late) {
-        Collections.shuffle(due, shuffling);
-      }
-      due.forEach(event -> event.action.run());
-    }
-    nowNanos = Math.max(nowNanos, untilNanos);
+    loop.runUntil(START_NANOS + afterStartNanos);
   }
 
   /** Holds the event loop. */
   void stall(long nanos) {
     record("the event loop stalls for " + nanos / PER_MILLI + " ms");
-    stalls.add(new Stall(nowNanos, nowNanos + nanos));
-    nowNanos += nanos;
+    loop.stall(nanos);
   }
 
   /**
@@ -186,7 +150,7 @@
         shutdownDeadline.limit(margin.deadlineNanos(arrivedNanos, timeoutNanos));
     record("request " + request.id + ", timeout " + timeoutNanos / PER_MILLI + " ms");
     gateway.requestReceived(
-        nowNanos,
+        loop.nowNanos(),
         new ClientRequest(
             request.id,
             request.classIndex,
@@ -206,22 +170,22 @@
     }
     record("the client of " + request.id + " leaves");
     request.clientLeft = true;
-    schedule(nowNanos, () -> deliverDisconnect(request));
+    loop.schedule(loop.nowNanos(), () -> deliverDisconnect(request));
   }
 
   private void deliverDisconnect(Request request) {
     if (request.delivered && !request.responded && !request.disconnectDelivered) {
       request.disconnectDelivered = true;
-      gateway.clientDisconnected(nowNanos, request.id);
+      gateway.clientDisconnected(loop.nowNanos(), request.id);
     }
   }
 
   /** Updates one endpoint of the list. */
   void updateEndpoint(String id, EndpointState state, boolean startsNow) {
     record("endpoint " + id + " " + state + (startsNow ? ", starts now" : ""));
-    Endpoint endpoint = new Endpoint(id, 1, 0, 0, 0, state, startsNow ? nowNanos : 0);
+    Endpoint endpoint = new Endpoint(id, 1, 0, 0, 0, state, startsNow ? loop.nowNanos() : 0);
     endpoints.put(id, endpoint);
-    gateway.endpointsUpdated(nowNanos, EndpointUpdateType.DELTA, List.of(endpoint));
+    gateway.endpointsUpdated(loop.nowNanos(), EndpointUpdateType.DELTA, List.of(endpoint));
   }
 
   /** Whether a graceful shutdown was started. */
@@ -233,7 +197,7 @@
   void drain() {
     record("drain");
     draining = true;
-    shutdownDeadline.shutdownStarted(nowNanos);
+    shutdownDeadline.shutdownStarted(loop.nowNanos());
   }
 
   /** Ends the attempt that was started first of those in flight; nothing if there is none. */
@@ -269,11 +233,12 @@
                 != Idempotency.NON_IDEMPOTENT,
         "nothing that is not idempotent is repeated");
     request.attemptInFlight = true;
-    long startedNanos = nowNanos;
+    long startedNanos = loop.nowNanos();
     if (request.clientLeft) {
       // The host reads the client's connection before it sends anything.
       deliverDisconnectLater(request);
-      schedule(nowNanos, () -> endAttempt(request, endpointId, startedNanos, Outcome.NOT_SENT));
+      loop.schedule(
+          loop.nowNanos(), () -> endAttempt(request, endpointId, startedNanos, Outcome.NOT_SENT));
       return;
     }
     request.attempts++;
@@ -296,12 +261,12 @@
   }
 
   private void deliverDisconnectLater(Request request) {
-    schedule(nowNanos, () -> deliverDisconnect(request));
+    loop.schedule(loop.nowNanos(), () -> deliverDisconnect(request));
   }
 
   private void scheduleEnd(Runnable end, Outcome outcome, long delayNanos) {
-    schedule(
-        nowNanos + delayNanos,
+    loop.schedule(
+        loop.nowNanos() + delayNanos,
         () -> {
           endOpenWith = outcome;
           end.run();
@@ -316,11 +281,11 @@
       respond(request, "served");
     }
     gateway.attemptEnded(
-        nowNanos,
+        loop.nowNanos(),
         new AttemptResult(
             request.id,
             outcome,
-            nowNanos - startedNanos,
+            loop.nowNanos() - startedNanos,
             endpointId,
             request.responded || request.disconnectDelivered,
             request.attempts - 1,
@@ -344,22 +309,11 @@
     check(!request.disconnectDelivered, "no response to " + request.id + " without its client");
     // What a stall has held back may be given up at the first timer behind it.
     long latestNanos =
-        endOfStalls(endOfStalls(request.gatewayDeadlineNanos) + TIMER_INTERVAL_NANOS);
-    check(nowNanos <= latestNanos, "the response to " + request.id + " is in time");
+        loop.endOfStalls(loop.endOfStalls(request.gatewayDeadlineNanos) + TIMER_INTERVAL_NANOS);
+    check(loop.nowNanos() <= latestNanos, "the response to " + request.id + " is in time");
     request.responded = true;
   }
 
-  /** The moment itself, or the end of the stalls that it is in. */
-  private long endOfStalls(long momentNanos) {
-    long endNanos = momentNanos;
-    for (Stall stall : stalls) {
-      if (stall.startNanos <= endNanos && endNanos < stall.endNanos) {
-        endNanos = stall.endNanos;
-      }
-    }
-    return endNanos;
-  }
-
   /** Fails if a request is owed a response, or has an attempt in flight. */
   void checkAllOver() {
     for (Request request : requests.values()) {
@@ -378,7 +332,7 @@
             ended[0] = true;
             openCounterCalls.remove(endOpen[0]);
             record("counter call ends: " + endOpenWith);
-            gateway.counterCallEnded(nowNanos, counterKey, endOpenWith, Math.max(0, amount));
+            gateway.counterCallEnded(loop.nowNanos(), counterKey, endOpenWith, Math.max(0, amount));
           }
         };
     openCounterCalls.add(endOpen[0]);
@@ -390,7 +344,7 @@
 
   @Override
   public void scheduleTimer(long token, long delayNanos) {
-    schedule(nowNanos + delayNanos, () -> gateway.timerFired(nowNanos, token));
+    loop.schedule(loop.nowNanos() + delayNanos, () -> gateway.timerFired(loop.nowNanos(), token));
   }
 
   @Override
