--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -105,10 +105,10 @@
 
   /** Called by the decoder after each read, when all that may be decoded has been. */
   private void bytesDecoded() {
-    int undecodedBytes = decoder.undecodedBytes();
-    if (state.isBetweenRequests() && !state.isClosing() && undecodedBytes > 0) {
+    if (state.isBetweenRequests() && !state.isClosing() && decoder.hasPartOfRequest()) {
       state.startReceiving();
     }
+    int undecodedBytes = decoder.undecodedBytes();
     assembler.updateBudget(undecodedBytes);
     if (decoder.isPaused() && assembler.hasTooManyPipelinedBytes(undecodedBytes)) {
       presence.pauseReading();
@@ -125,11 +125,18 @@
   public void enforceTimeouts() {
     long nowNanos = System.nanoTime();
     if (state.isReceiveTimedOut(nowNanos)) {
+      refuseUnlessReceived();
+    } else if (state.isIdleTimedOut(nowNanos)) {
+      initiateClose("idle timeout");
+    }
+  }
+
+  /** Refuses the request that is being received, unless its rest has arrived by now. */
+  private void refuseUnlessReceived() {
+    if (!hasUnreadRequest() && !state.isClosing()) {
       refuseAndClose(
           new InvalidRequestException(
               HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come"));
-    } else if (state.isIdleTimedOut(nowNanos)) {
-      initiateClose("idle timeout");
     }
   }
 
@@ -139,21 +146,33 @@
       return false;
     }
     handler.log().count(NodeLog.Event.IDLE_CLOSED);
-    state.startClosing();
-    channel.close();
+    if (state.isReceiving() && !state.isClosing()) {
+      // The client may be sending the rest.
+      refuseAndClose(new InvalidRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE, reason));
+    } else {
+      state.startClosing();
+      channel.close();
+    }
     return true;
   }
 
   /**
-   * Whether bytes of a request have arrived that were not read yet; reads them. The event loop may
-   * have stalled since it last polled its sockets.
+   * Whether the next request, or the rest of the one that is being received, has arrived and not
+   * been handled; reads it. The event loop may have stalled since it last polled its sockets.
    */
   private boolean hasUnreadRequest() {
-    if (state.isClosing() || !state.isBetweenRequests()) {
+    if (!state.mayReceive()) {
       return false;
     }
+    boolean betweenRequests = state.isBetweenRequests();
     presence.readAvailable();
-    return channel.isActive() && !state.isBetweenRequests();
+    return channel.isActive()
+        && (betweenRequests ? !state.isBetweenRequests() : isRequestComplete());
+  }
+
+  /** Whether a whole request has been received that {@link #handleRequest} is still to handle. */
+  private boolean isRequestComplete() {
+    return assembler.hasHead() && decoder.isPaused();
   }
 
   @Override
@@ -244,7 +263,11 @@
    * @param retryAfterNanos when the client may retry, from now; 0 for no advice
    */
   void respond(HttpResponseStatus status, ByteBuf content, long retryAfterNanos) {
-    boolean close = !keepAlive || registry.isDraining() || registry.hasMaxIdleConnections();
+    boolean close =
+        !keepAlive
+            || registry.isDraining()
+            || registry.hasMaxIdleConnections()
+            || acceptThrottle.isPaused(channel.parent());
     state.endRequest(close);
     responses.write(status, content, retryAfterNanos, close);
     if (!state.isClosing()) {
@@ -254,7 +277,8 @@
 
   /** Goes on to pipelined requests, unless the client does not even read its responses. */
   private void resumeDecoding() {
-    if (!state.mayReceive() || !channel.isActive() || !channel.isWritable()) {
+    boolean mayDecode = state.mayReceive() && !isRequestComplete();
+    if (!mayDecode || !channel.isActive() || !channel.isWritable()) {
       return;
     }
     channel.config().setAutoRead(true);
--- a/src/main/java/merlinrouter/node/downstream/ConnectionState.java
+++ b/src/main/java/merlinrouter/node/downstream/ConnectionState.java
@@ -57,6 +57,11 @@
     return openRequest;
   }
 
+  /** Whether a request has been received, in part or as a whole, that is not handled yet. */
+  boolean isReceiving() {
+    return receiving;
+  }
+
   /** Whether a further request may be received: none is open, and the connection stays open. */
   boolean mayReceive() {
     return openRequest == null && !closing;
--- a/src/main/java/merlinrouter/node/downstream/RequestAssembler.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestAssembler.java
@@ -65,6 +65,11 @@
     }
   }
 
+  /** Whether a head has been received that was not taken. */
+  boolean hasHead() {
+    return head != null;
+  }
+
   /** Returns the head, and forgets it. */
   HttpRequest takeHead() {
     HttpRequest taken = head;
--- a/src/test/java/merlinrouter/node/ClientRaceTest.java
+++ b/src/test/java/merlinrouter/node/ClientRaceTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +23,7 @@
   private static final long STALL_BEYOND_TIMEOUT_CHECK_MILLIS = 300;
 
   private static final long STALL_BEYOND_IDLE_TIMEOUT_MILLIS = 2_200;
+  private static final long STALL_BEYOND_REQUEST_TIMEOUT_MILLIS = 2_700;
 
   private static final String NOT_EXECUTED_RESPONSE =
       "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
@@ -97,6 +99,23 @@
     assertEquals("t-2", server.awaitRequest().requestId());
   }
 
+  /** The request's id is still known to the gateway, though not to its host. */
+  @Test
+  void requestSentAgainDuringCounterCallOfItsFirstSendingGetsResponse() throws Exception {
+    CompletableFuture<Void> proceed = new CompletableFuture<>();
+    letCounterRespondAfter(proceed);
+    EdgeNode node = startNode(slowCounterConfig(startOkServer("x")));
+    Socket client = connect(node);
+    writeRequest(client, "POST /api", countedRequestHeaders("t-1"), "book");
+    counter.awaitRequest();
+    client.close();
+    awaitAllDisconnected(node);
+    Socket again = connect(node);
+    writeRequest(again, "POST /api", countedRequestHeaders("t-1"), "book");
+    assertEquals("503", readStatus(again));
+    proceed.complete(null);
+  }
+
   /** The close is behind the pipelined requests, so the node must read these to see it. */
   @Test
   void requestIsNotSentIfClientPipelinesAndDisconnectsDuringCounterCall() throws Exception {
@@ -261,4 +280,50 @@
         });
     assertEquals("200", readStatus(client));
   }
+
+  /** As above; the rest of a request comes while the event loop is stalled. */
+  @Test
+  void requestCompletedDuringEventLoopStallIsNotTimedOut() throws Exception {
+    EdgeNode node = startNode(startOkServer("x"));
+    Socket client = connect(node);
+    String head = requestHead("POST /api", requestHeaders("t-1", "order", "20000"));
+    writeText(client, head + "Content-Length: 4\r\n\r\nbo");
+    awaitOnEventLoop(node, () -> node.usedRequestBytes() > 0);
+    runOnEventLoop(
+        node,
+        () -> {
+          node.loop()
+              .schedule(
+                  () -> {
+                    writeText(client, "ok");
+                    Thread.sleep(STALL_BEYOND_REQUEST_TIMEOUT_MILLIS);
+                    return null;
+                  },
+                  0,
+                  TimeUnit.NANOSECONDS);
+          Thread.sleep(STALL_BEYOND_TIMEOUT_CHECK_MILLIS);
+        });
+    assertEquals("200", readStatus(client));
+  }
+
+  /** A response that fills the write buffer makes the connection go on twice. */
+  @Test
+  void pipelinedRequestsBehindLargeResponseAllGetResponses() throws Exception {
+    int pipelined = 4;
+    CompletableFuture<ScriptedServer.Message> firstRequest = new CompletableFuture<>();
+    EdgeNode node = startNode(startServerThatHoldsFirst(firstRequest));
+    Socket client = connect(node);
+    writeKeyedRequest(client, "t-1");
+    ScriptedServer.Message attempt = firstRequest.get();
+    writeText(client, "GET /_health HTTP/1.1\r\n\r\n".repeat(pipelined));
+    awaitOnEventLoop(node, () -> node.usedRequestBytes() > 100);
+    attempt.respond(ScriptedServer.okResponse("", "x".repeat(64 * 1024)));
+    for (int i = 0; i < 1 + pipelined; i++) {
+      readStatus(client);
+    }
+  }
+
+  private static void writeText(Socket client, String text) throws IOException {
+    client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+  }
 }
--- a/src/test/java/merlinrouter/node/ShutdownRaceTest.java
+++ b/src/test/java/merlinrouter/node/ShutdownRaceTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import merlinrouter.node.config.NodeConfigReader;
@@ -132,4 +133,54 @@
     assertTrue(answeredAfterMillis < MAX_RESPONSE_MILLIS, answeredAfterMillis + " ms");
     drained.get(60, TimeUnit.SECONDS);
   }
+
+  /** The decoder holds none of these bytes any more: a whole line of a head is parsed at once. */
+  @Test
+  void drainDoesNotCloseConnectionThatHasReceivedTheFirstLineOfRequest() throws Exception {
+    EdgeNode node = startNode(startOkServer("x"));
+    Socket client = connect(node);
+    String head = requestHead("POST /api", requestHeaders("t-1", "order", "20000"));
+    String request = head + "Content-Length: 4\r\n\r\nbook";
+    int firstLineBytes = request.indexOf('\n') + 1;
+    byte[] bytes = request.getBytes(StandardCharsets.UTF_8);
+    client.getOutputStream().write(bytes, 0, firstLineBytes);
+    callOnEventLoop(node, () -> null);
+    CompletableFuture<Void> drained = callOnEventLoop(node, node::drain);
+    node.loop().schedule(() -> {}, STALL_BEYOND_GRACE_MILLIS, TimeUnit.MILLISECONDS).get();
+    client.getOutputStream().write(bytes, firstLineBytes, bytes.length - firstLineBytes);
+    readStatus(client);
+    drained.get(60, TimeUnit.SECONDS);
+  }
+
+  /** A system may queue one more connection than the backlog that it is asked for. */
+  @Test
+  void drainServesFullBacklog() throws Exception {
+    int backlog = 512;
+    String config = withSetting(configJson(), "sockets", 4 * backlog);
+    EdgeNode node = startNode(config);
+    InetSocketAddress address = (InetSocketAddress) node.address();
+    CompletableFuture<Void> drained = callOnEventLoop(node, node::drain);
+    // The grace period ends in the same turn of the event loop, with no poll between.
+    List<Socket> clients =
+        node.loop()
+            .schedule(
+                () -> {
+                  List<Socket> connected = new ArrayList<>();
+                  for (int i = 0; i <= backlog; i++) {
+                    Socket client = connect(address);
+                    resources.add(client);
+                    writeRequest(client, "GET /_health", Map.of(), "");
+                    connected.add(client);
+                  }
+                  Thread.sleep(STALL_BEYOND_GRACE_MILLIS);
+                  return connected;
+                },
+                0,
+                TimeUnit.NANOSECONDS)
+            .get();
+    for (Socket client : clients) {
+      readStatus(client);
+    }
+    drained.get(60, TimeUnit.SECONDS);
+  }
 }
