Count the wait of connections that one poll leaves to the next

A poll accepts 16 connections. Behind a stall of the event loop the others were accepted by the polls after it, and counted as connected during the stall's last poll or later: their deadlines were later than their clients' by the length of the stall, so that they were forwarded with time that was used up and given up too late. A poll that accepts as many as it may now leaves a backlog, whose connections may have waited as long as those it accepted, until a poll accepts fewer. A check no longer ends a backlog while a later one is pending.

DeadlineRaceTest.forwardedTimeoutExcludesWaitForAcceptBehindAsManyClientsAsOnePollAccepts: failed before (forwarded 19927 of 20000 ms after a stall of 500 ms), passes now. DeadlineRaceTest, ClientRaceTest, ClientConnectionLimitTest, ShutdownRaceTest and DocumentationTest pass (32 tests).

--- a/src/main/java/merlinrouter/node/downstream/AcceptThrottle.java
+++ b/src/main/java/merlinrouter/node/downstream/AcceptThrottle.java
@@ -25,13 +25,18 @@
 
   private final NodeLog log;
   private final LongSupplier previousPollNanos;
-  private boolean paused;
-  private long pausedSinceNanos;
+
+  /** Whether connections may wait that a poll before the latest one did not accept. */
+  private boolean backlogged;
+
+  /** The earliest moment at which these may have started to wait. */
+  private long backloggedSinceNanos;
+
   private int acceptedInThisPoll;
-  private boolean acceptedSinceResume;
+  private boolean acceptedSinceLastCheck;
 
-  /** How many times accepting was resumed with no whole poll of the sockets since. */
-  private int resumesWithoutPoll;
+  /** How many checks await a whole poll of the sockets. */
+  private int pendingChecks;
 
   /**
    * Creates a throttle that does not pause accepting.
@@ -50,60 +55,69 @@
 
   /** Whether connections may wait in the kernel that no poll since the last pause could accept. */
   boolean mayHoldConnectionsBack(Channel listeningChannel) {
-    return isPaused(listeningChannel) || resumesWithoutPoll > 0;
+    return isPaused(listeningChannel) || pendingChecks > 0;
   }
 
   /** The earliest moment at which a connection that is accepted now may have started to wait. */
   long waitingSinceNanos() {
     long previousPoll = previousPollNanos.getAsLong();
-    return paused && pausedSinceNanos - previousPoll < 0 ? pausedSinceNanos : previousPoll;
+    boolean isEarlier = backlogged && backloggedSinceNanos - previousPoll < 0;
+    return isEarlier ? backloggedSinceNanos : previousPoll;
   }
 
   /** Stops accepting until {@link #resume}: connections that arrive after {@code since} wait. */
   void pause(Channel listeningChannel, long sinceNanos) {
-    if (!paused) {
-      paused = true;
-      pausedSinceNanos = sinceNanos;
-    }
+    addBacklog(sinceNanos);
     listeningChannel.config().setAutoRead(false);
   }
 
+  private void addBacklog(long sinceNanos) {
+    if (!backlogged || sinceNanos - backloggedSinceNanos < 0) {
+      backlogged = true;
+      backloggedSinceNanos = sinceNanos;
+    }
+  }
+
   /** Goes on accepting, if paused. */
   void resume(Channel listeningChannel) {
     if (!isPaused(listeningChannel)) {
       return;
     }
-    acceptedSinceResume = false;
-    resumesWithoutPoll++;
     listeningChannel.config().setAutoRead(true);
-    EventLoops.runAfterNextPoll(
-        listeningChannel.eventLoop(), 0, () -> polledSinceResume(listeningChannel));
+    checkAfterNextPoll(listeningChannel);
   }
 
-  private void polledSinceResume(Channel listeningChannel) {
-    resumesWithoutPoll--;
+  private void checkAfterNextPoll(Channel listeningChannel) {
+    acceptedSinceLastCheck = false;
+    pendingChecks++;
+    EventLoops.runAfterNextPoll(listeningChannel.eventLoop(), 0, () -> polled(listeningChannel));
+  }
+
+  private void polled(Channel listeningChannel) {
+    pendingChecks--;
     // If the poll accepted no connection, none had waited.
-    if (!acceptedSinceResume && !isPaused(listeningChannel)) {
-      paused = false;
+    if (pendingChecks == 0 && !acceptedSinceLastCheck && !isPaused(listeningChannel)) {
+      backlogged = false;
     }
   }
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object accepted) {
     acceptedInThisPoll++;
-    acceptedSinceResume = true;
+    acceptedSinceLastCheck = true;
     context.fireChannelRead(accepted);
   }
 
   /** A poll that accepts fewer connections than it may has accepted all that waited. */
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
-    MaxMessagesRecvByteBufAllocator allocator =
-        context.channel().config().getRecvByteBufAllocator();
-    if (acceptedInThisPoll > 0
-        && acceptedInThisPoll < allocator.maxMessagesPerRead()
-        && !isPaused(context.channel())) {
-      paused = false;
+    Channel listeningChannel = context.channel();
+    MaxMessagesRecvByteBufAllocator allocator = listeningChannel.config().getRecvByteBufAllocator();
+    if (acceptedInThisPoll >= allocator.maxMessagesPerRead()) {
+      addBacklog(previousPollNanos.getAsLong());
+      checkAfterNextPoll(listeningChannel);
+    } else if (acceptedInThisPoll > 0 && !isPaused(listeningChannel)) {
+      backlogged = false;
     }
     acceptedInThisPoll = 0;
     context.fireChannelReadComplete();
--- a/src/test/java/merlinrouter/node/DeadlineRaceTest.java
+++ b/src/test/java/merlinrouter/node/DeadlineRaceTest.java
@@ -20,6 +20,11 @@
 class DeadlineRaceTest extends EventLoopFixture {
   private static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final long IDLE_BEFORE_FIRST_REQUEST_MILLIS = 500;
+  private static final long ACCEPT_STALL_MILLIS = 500;
+
+  /** How many connections one poll accepts. */
+  private static final int ACCEPTS_PER_POLL = 16;
+
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** A latency objective so short that a request with little time left is still forwarded. */
@@ -89,6 +94,29 @@
         "forwarded " + forwardedMillis + " ms while " + leftMillis + " were left");
   }
 
+  /** The client connects during a stall of the event loop, behind as many as one poll accepts. */
+  @Test
+  void forwardedTimeoutExcludesWaitForAcceptBehindAsManyClientsAsOnePollAccepts() throws Exception {
+    ScriptedServer server = startOkServer("x");
+    EdgeNode node = startNode(server);
+    long stalledMillis =
+        callOnEventLoop(
+            node,
+            () -> {
+              for (int i = 0; i < ACCEPTS_PER_POLL; i++) {
+                connect(node);
+              }
+              writeKeyedRequest(connect(node), "t-1");
+              long writtenAtNanos = System.nanoTime();
+              Thread.sleep(ACCEPT_STALL_MILLIS);
+              return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - writtenAtNanos);
+            });
+    long forwardedMillis = forwardedTimeoutMillis(server.awaitRequest());
+    assertTrue(
+        forwardedMillis <= 20_000 - stalledMillis,
+        "forwarded " + forwardedMillis + " ms after a stall of " + stalledMillis);
+  }
+
   /** What is left now, in whole milliseconds, to a request of the default timeout. */
   private static long leftMillis(EdgeNode node, long arrivedAtNanos) {
     long timeoutNanos = TimeUnit.SECONDS.toNanos(20);
