--- a/emulator/src/main/java/merlinrouter/emulator/invariant/InvariantChecker.java
+++ b/emulator/src/main/java/merlinrouter/emulator/invariant/InvariantChecker.java
@@ -13,9 +13,11 @@
 
 /** Checks the requests of a run against the invariants. Any thread may call. */
 public final class InvariantChecker {
+  /** A response so long after the client's deadline counts as none. */
+  public static final long MAX_LATE_RESPONSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private static final int STATUS_OK = 200;
 
-  private static final long MAX_LATE_RESPONSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final long MAX_INCOMPLETE_REQUEST_NANOS = TimeUnit.SECONDS.toNanos(3);
   private static final long MAX_ATTEMPT_AFTER_END_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final long MAX_EXCESS_TIMEOUT_MILLIS = 150;
--- a/emulator/src/main/java/merlinrouter/emulator/soak/NodeTraffic.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/NodeTraffic.java
@@ -15,8 +15,6 @@
 final class NodeTraffic {
   private static final int CLIENTS = 3;
   private static final long MAX_PAUSE_MILLIS = 120;
-  private static final long MIN_TIMEOUT_MILLIS = 150;
-  private static final long MAX_TIMEOUT_MILLIS = 2_400;
   private static final long MAX_STAY_MILLIS = 150;
   private static final long MAX_SEND_PAUSE_MILLIS = 200;
 
@@ -37,14 +35,17 @@
 
   private final Fleet.Node node;
   private final RequestRegistry requests;
+  private final ClientTimeouts timeouts;
   private final Thread[] threads = new Thread[CLIENTS];
   private volatile boolean stopped;
   private volatile boolean newConnectionsAllowed = true;
 
   /** Starts the clients of a node. */
-  NodeTraffic(Fleet.Node node, RequestRegistry requests, SplittableRandom random) {
+  NodeTraffic(
+      Fleet.Node node, RequestRegistry requests, ClientTimeouts timeouts, SplittableRandom random) {
     this.node = node;
     this.requests = requests;
+    this.timeouts = timeouts;
     for (int i = 0; i < CLIENTS; i++) {
       SplittableRandom clientRandom = random.split();
       threads[i] = BackgroundThreads.start(node.name() + " client", () -> run(clientRandom));
@@ -84,9 +85,7 @@
     RequestClass requestClass = classes[random.nextInt(classes.length)];
     boolean shortTimeout = draw >= SHORT_TIMEOUT_START && draw < SHORT_TIMEOUT_END;
     long timeoutMillis =
-        shortTimeout
-            ? random.nextLong(1, MIN_TIMEOUT_MILLIS)
-            : random.nextLong(MIN_TIMEOUT_MILLIS, MAX_TIMEOUT_MILLIS);
+        shortTimeout ? timeouts.drawShortMillis(random) : timeouts.drawMillis(random);
     RequestRecord request = requests.register(node.name(), requestClass, timeoutMillis);
     if (draw < INCOMPLETE_END) {
       client.sendHalf(request);
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
@@ -80,6 +80,14 @@
       description = "Inject only these kinds of fault: ${COMPLETION-CANDIDATES}.")
   private List<FaultKind> kinds = List.of(FaultKind.values());
 
+  @Option(
+      names = "--timeouts-ms",
+      split = ",",
+      description =
+          "Half of the clients' requests wait for one of these numbers of milliseconds"
+              + " (default: none).")
+  private List<Long> timeoutsMillis = List.of();
+
   @Option(
       names = "--hard",
       description = {
@@ -107,6 +115,7 @@
             Duration.ofSeconds(durationSeconds),
             emulatorDelayMillis,
             kinds,
+            new ClientTimeouts(timeoutsMillis),
             hard);
     Set<Verdict> verdicts = EnumSet.noneOf(Verdict.class);
     Path runsFolder = folder == null ? Files.createTempDirectory("soak") : folder;
@@ -125,6 +134,7 @@
     requireAtLeast("--servers", upstreamCount, 1);
     requireAtLeast("--seconds", durationSeconds, 1);
     requireAtLeast("--own-delay-ms", emulatorDelayMillis, 0);
+    timeoutsMillis.forEach(millis -> requireAtLeast("--timeouts-ms", millis, 1));
     if (!Files.isRegularFile(root.resolve(Fleet.PROGRAM))) {
       throw badOption("--root " + root + " has no built program " + Fleet.PROGRAM);
     }
@@ -162,6 +172,8 @@
         result.unknownAttempts(),
         result.faultLines().size(),
         seedFolder);
+    System.out.println("  margins: " + result.margins());
+    printFirst("    ", result.margins().overdue());
     System.out.println("  faults " + result.faultsByKind());
     System.out.println("  violations " + countsByInvariant(result.violations()));
     printFirst("  ", result.violations());
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakResult.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakResult.java
@@ -15,6 +15,7 @@
  * @param unknownAttempts how many attempts carried an id that no client sent
  * @param faultsByKind how many faults of each kind were injected
  * @param faultLines the faults with their times, as in the run's {@code faults.log}
+ * @param margins the clients' time left at the responses
  */
 record SoakResult(
     Map<String, Integer> requestsByOutcome,
@@ -24,7 +25,8 @@
     List<NodeFault> nodeFaults,
     long unknownAttempts,
     Map<String, Integer> faultsByKind,
-    List<String> faultLines) {
+    List<String> faultLines,
+    ResponseMargins margins) {
 
   /** Above this part of the requests a run says nothing. */
   private static final double MAX_INCONCLUSIVE_FRACTION = 0.01;
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
@@ -70,7 +70,9 @@
     SplittableRandom random = new SplittableRandom(seed);
     for (Fleet.Node node : fleet.nodes()) {
       lateness.watch(node.name());
-      trafficByNodeName.put(node.name(), new NodeTraffic(node, fleet.requests(), random.split()));
+      trafficByNodeName.put(
+          node.name(),
+          new NodeTraffic(node, fleet.requests(), settings.clientTimeouts(), random.split()));
     }
   }
 
@@ -129,7 +131,8 @@
         List.copyOf(nodeFaults),
         fleet.requests().unknownAttempts(),
         faultLog.countsByKind(),
-        faultLog.lines());
+        faultLog.lines(),
+        ResponseMargins.of(fleet.requests().requests(), lateness));
   }
 
   private Violation withTimes(Violation violation, RequestRecord request) {
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakSettings.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakSettings.java
@@ -12,6 +12,7 @@
  * @param duration how long faults are injected
  * @param emulatorDelayMillis allowance for delays of the emulator's own threads
  * @param kinds the kinds of fault that are injected
+ * @param clientTimeouts draws how long clients wait
  * @param hard whether the faults of whole processes are injected too, and nodes are killed as soon
  *     as they may be: it is no fault of a node to run until then, but to owe a response is
  */
@@ -21,6 +22,7 @@
     Duration duration,
     long emulatorDelayMillis,
     List<FaultKind> kinds,
+    ClientTimeouts clientTimeouts,
     boolean hard) {
   /** A node is killed after the longest deadline and this, at the earliest. */
   private static final Duration KILL_MARGIN = Duration.ofMillis(700);
--- a/emulator/src/test/java/merlinrouter/emulator/SoakCommandLineTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/SoakCommandLineTest.java
@@ -29,6 +29,7 @@
     assertRefused("--seconds must be at least 1, not 0", "--seconds", "0");
     assertRefused("--seeds must be at least 1, not 0", "--seeds", "0");
     assertRefused("--own-delay-ms must be at least 0, not -5", "--own-delay-ms", "-5");
+    assertRefused("--timeouts-ms must be at least 1, not 0", "--timeouts-ms", "361,0");
   }
 
   @Test
--- a/emulator/src/test/java/merlinrouter/emulator/soak/SoakResultTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/soak/SoakResultTest.java
@@ -18,7 +18,8 @@
         nodeFaults,
         0,
         Map.of(),
-        List.of());
+        List.of(),
+        ResponseMargins.of(List.of(), new LatenessMonitor()));
   }
 
   @Test
--- a/emulator/src/test/java/merlinrouter/emulator/soak/SoakSettingsTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/soak/SoakSettingsTest.java
@@ -11,7 +11,14 @@
 /** What a soak test plays, by its options and its seed. */
 class SoakSettingsTest {
   private static SoakSettings settings(boolean hard) {
-    return new SoakSettings(1, 1, Duration.ofSeconds(1), 0, List.of(FaultKind.values()), hard);
+    return new SoakSettings(
+        1,
+        1,
+        Duration.ofSeconds(1),
+        0,
+        List.of(FaultKind.values()),
+        new ClientTimeouts(List.of()),
+        hard);
   }
 
   @Test
