--- a/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
@@ -88,6 +88,7 @@
       }
       case SERVER_DROPS_CONNECTIONS -> upstream.server().resetConnections();
       case SERVER_REPLACED -> upstreams.replace(upstream);
+      case MOST_SERVERS_REPLACED -> upstreams.replaceMost();
       case LINK_SILENT -> setCondition(upstream, Condition.BLACKHOLE, fault);
       case LINK_IN_PIECES -> setCondition(upstream, Condition.FRAGMENTED, fault);
       case LINK_SLOW -> setCondition(upstream, Condition.DELAYED, fault);
--- a/emulator/src/main/java/merlinrouter/emulator/soak/FaultKind.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/FaultKind.java
@@ -1,5 +1,8 @@
 package merlinrouter.emulator.soak;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * What may happen in a soak test. The names are values of the command line; their order is part of
  * what a seed determines.
@@ -52,5 +55,14 @@
   /** The quota counter is unresponsive. */
   COUNTER_SILENT,
   /** The quota counter's connections are reset. */
-  COUNTER_RESET
+  COUNTER_RESET,
+  /** Two thirds of the upstream servers begin to drain at once and others start. */
+  MOST_SERVERS_REPLACED;
+
+  /** The kinds that are drawn where no others are named; a new kind would change their draws. */
+  static List<FaultKind> defaultKinds() {
+    List<FaultKind> kinds = new ArrayList<>(List.of(values()));
+    kinds.remove(MOST_SERVERS_REPLACED);
+    return List.copyOf(kinds);
+  }
 }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import merlinrouter.emulator.fleet.Fleet;
 import merlinrouter.emulator.invariant.Invariant;
 import merlinrouter.emulator.invariant.Violation;
@@ -77,8 +78,16 @@
   @Option(
       names = "--only",
       split = ",",
-      description = "Inject only these kinds of fault: ${COMPLETION-CANDIDATES}.")
-  private List<FaultKind> kinds = List.of(FaultKind.values());
+      description =
+          "Inject only these kinds of fault: ${COMPLETION-CANDIDATES}"
+              + " (default: all but MOST_SERVERS_REPLACED).")
+  private List<FaultKind> kinds = FaultKind.defaultKinds();
+
+  @Option(
+      names = "--also",
+      split = ",",
+      description = "Inject these kinds of fault too, beside the default ones or those of --only.")
+  private List<FaultKind> furtherKinds = List.of();
 
   @Option(
       names = "--timeouts-ms",
@@ -114,7 +123,7 @@
             upstreamCount,
             Duration.ofSeconds(durationSeconds),
             emulatorDelayMillis,
-            kinds,
+            Stream.concat(kinds.stream(), furtherKinds.stream()).toList(),
             new ClientTimeouts(timeoutsMillis),
             hard);
     Set<Verdict> verdicts = EnumSet.noneOf(Verdict.class);
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakUpstreams.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakUpstreams.java
@@ -40,6 +40,14 @@
     }
   }
 
+  /** Has two thirds of the servers drain and starts as many. */
+  void replaceMost() throws IOException {
+    int replacedCount = ready.size() * 2 / 3;
+    for (Upstream old : List.copyOf(ready.subList(0, replacedCount))) {
+      replace(old);
+    }
+  }
+
   private void add(long startedAtUnixMillis) throws IOException {
     AtomicReference<Behavior> behavior = new AtomicReference<>(Behavior.RESPOND);
     UpstreamServer server =
--- a/emulator/src/test/java/merlinrouter/emulator/soak/SoakSettingsTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/soak/SoakSettingsTest.java
@@ -10,13 +10,20 @@
 
 /** What a soak test plays, by its options and its seed. */
 class SoakSettingsTest {
+  private static final String DEFAULT_KINDS =
+      "[ACCEPT_FAILS, SOCKET_FAILS, CONNECT_FAILS, READS_INTERRUPTED, SHORT_CALLS, CLOCK_STEPS,"
+          + " NODE_HELD, NODE_RELOADED, NODE_RESTARTED, SERVER_HANGS, SERVER_ERRS,"
+          + " SERVER_TURNS_AWAY, SERVER_RESETS, SERVER_CUTS_SHORT, SERVER_GIVES_NO_LENGTH,"
+          + " SERVER_DROPS_CONNECTIONS, SERVER_REPLACED, LINK_SILENT, LINK_IN_PIECES, LINK_SLOW,"
+          + " DISCOVERY_SILENT, WATCHES_RESET, COUNTER_SILENT, COUNTER_RESET]";
+
   private static SoakSettings settings(boolean hard) {
     return new SoakSettings(
         1,
         1,
         Duration.ofSeconds(1),
         0,
-        List.of(FaultKind.values()),
+        FaultKind.defaultKinds(),
         new ClientTimeouts(List.of()),
         hard);
   }
@@ -37,8 +44,6 @@
   /** The draws of a seed must stay what they were when it found something. */
   @Test
   void theKindsOfAPlainRunKeepTheirOrder() {
-    assertEquals(FaultKind.ACCEPT_FAILS, FaultKind.values()[0]);
-    assertEquals(24, FaultKind.values().length);
-    assertEquals(FaultKind.COUNTER_RESET, FaultKind.values()[23]);
+    assertEquals(DEFAULT_KINDS, FaultKind.defaultKinds().toString());
   }
 }
