--- a/emulator/src/main/java/merlinrouter/emulator/soak/ResponseMargins.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/ResponseMargins.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongUnaryOperator;
 import merlinrouter.emulator.invariant.InvariantChecker;
 import merlinrouter.emulator.request.ClientOutcome;
 import merlinrouter.emulator.request.RequestRecord;
@@ -15,10 +16,12 @@
    * A complete response and the client's time.
    *
    * @param request the request
+   * @param sentMillis when it was sent, from the run's start
    * @param marginNanos from the response's last byte to the client's deadline; negative after it
    * @param emulatorLateNanos how late the emulator's clients of that node were meanwhile, at most
    */
-  record Response(RequestRecord request, long marginNanos, long emulatorLateNanos) {
+  record Response(
+      RequestRecord request, long sentMillis, long marginNanos, long emulatorLateNanos) {
     /** Whether it came after the client's deadline. */
     boolean isOverdue() {
       return marginNanos < 0;
@@ -32,8 +35,9 @@
     @Override
     public String toString() {
       return String.format(
-          "%d ms left, the emulator's clients late by %d ms: %s",
+          "%d ms left, sent at %d ms, the emulator's clients late by %d ms: %s",
           Math.floorDiv(marginNanos, NANOS_PER_MILLI),
+          sentMillis,
           emulatorLateNanos / NANOS_PER_MILLI,
           request);
     }
@@ -46,22 +50,32 @@
     byMargin = responses.stream().sorted(Comparator.comparingLong(Response::marginNanos)).toList();
   }
 
-  /** The margins of the requests that were sent whole and got a response. */
-  static ResponseMargins of(List<RequestRecord> requests, LatenessMonitor lateness) {
+  /**
+   * The margins of the requests that were sent whole and got a response.
+   *
+   * @param millisSinceStart converts a moment of {@link System#nanoTime}
+   */
+  static ResponseMargins of(
+      List<RequestRecord> requests, LatenessMonitor lateness, LongUnaryOperator millisSinceStart) {
     return new ResponseMargins(
         requests.stream()
             .filter(request -> request.outcome() == ClientOutcome.RESPONDED)
             .filter(request -> !request.isIncomplete())
-            .map(request -> response(request, lateness))
+            .map(
+                request ->
+                    response(
+                        request, lateness, millisSinceStart.applyAsLong(request.sentAtNanos())))
             .toList());
   }
 
-  private static Response response(RequestRecord request, LatenessMonitor lateness) {
+  private static Response response(
+      RequestRecord request, LatenessMonitor lateness, long sentMillis) {
     long sentAtNanos = request.sentAtNanos();
     long endedAtNanos = request.endedAtNanos();
     long deadlineNanos = sentAtNanos + TimeUnit.MILLISECONDS.toNanos(request.timeoutMillis());
     return new Response(
         request,
+        sentMillis,
         deadlineNanos - endedAtNanos,
         lateness.of(request.nodeName()).longestNanos(sentAtNanos, endedAtNanos));
   }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
@@ -132,7 +132,7 @@
         fleet.requests().unknownAttempts(),
         faultLog.countsByKind(),
         faultLog.lines(),
-        ResponseMargins.of(fleet.requests().requests(), lateness));
+        ResponseMargins.of(fleet.requests().requests(), lateness, faultLog::millisSinceStart));
   }
 
   private Violation withTimes(Violation violation, RequestRecord request) {
--- a/emulator/src/test/java/merlinrouter/emulator/soak/ResponseMarginsTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/soak/ResponseMarginsTest.java
@@ -29,7 +29,7 @@
   }
 
   private Response response(long marginMillis) {
-    return new Response(request(), TimeUnit.MILLISECONDS.toNanos(marginMillis), 0);
+    return new Response(request(), 0, TimeUnit.MILLISECONDS.toNanos(marginMillis), 0);
   }
 
   private ResponseMargins margins(LongStream marginsMillis) {
@@ -65,7 +65,7 @@
     request.respond(200, request.expectedBody());
     lateness.of(NODE).add(request.sentAtNanos() - 1, request.endedAtNanos() + 1);
     long latencyNanos = request.endedAtNanos() - request.sentAtNanos();
-    ResponseMargins margins = ResponseMargins.of(requests.requests(), lateness);
+    ResponseMargins margins = ResponseMargins.of(requests.requests(), lateness, nanos -> nanos);
     assertEquals(
         TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS) - latencyNanos, margins.quantileNanos(0));
   }
@@ -74,10 +74,12 @@
   void anOverdueResponseTellsTheRequestAndHowLateTheEmulatorWas() {
     Response response =
         new Response(
-            request(), TimeUnit.MILLISECONDS.toNanos(-501), TimeUnit.MILLISECONDS.toNanos(30));
+            request(), 77, TimeUnit.MILLISECONDS.toNanos(-501), TimeUnit.MILLISECONDS.toNanos(30));
     String text = response.toString();
     assertTrue(
-        text.startsWith("-501 ms left, the emulator's clients late by 30 ms: r00000001 n0"), text);
+        text.startsWith(
+            "-501 ms left, sent at 77 ms, the emulator's clients late by 30 ms: r00000001 n0"),
+        text);
   }
 
   @Test
@@ -87,6 +89,6 @@
     RequestRecord incomplete = request();
     incomplete.markIncomplete();
     incomplete.respond(400, "");
-    assertEquals(0, ResponseMargins.of(requests.requests(), lateness).count());
+    assertEquals(0, ResponseMargins.of(requests.requests(), lateness, nanos -> nanos).count());
   }
 }
--- a/emulator/src/test/java/merlinrouter/emulator/soak/SoakResultTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/soak/SoakResultTest.java
@@ -19,7 +19,7 @@
         0,
         Map.of(),
         List.of(),
-        ResponseMargins.of(List.of(), new LatenessMonitor()));
+        new ResponseMargins(List.of()));
   }
 
   @Test
