Tell how long an overdue response's own client waited for a CPU

The lateness of the emulator is probed by a thread of its own, one for the clients of each node. Beside load of 60 on 8 cores client threads waited up to a second for a CPU, by the kernel's account, while the probe of their node saw 62 ms at most. Each client now reads its own thread's wait before and after it waits for a response. The verdicts do not use it.

--- a/emulator/src/main/java/merlinrouter/emulator/peer/Client.java
+++ b/emulator/src/main/java/merlinrouter/emulator/peer/Client.java
@@ -74,6 +74,12 @@
     if (request.hasEnded()) {
       return;
     }
+    long cpuWaitBeforeNanos = CpuWait.ofCurrentThreadNanos();
+    receiveOrEnd(request);
+    request.setClientCpuWaitNanos(CpuWait.ofCurrentThreadNanos() - cpuWaitBeforeNanos);
+  }
+
+  private void receiveOrEnd(RequestRecord request) {
     try {
       socket.setSoTimeout((int) request.timeoutMillis() + EXTRA_WAIT_MILLIS);
       HttpMessage response = HttpMessage.read(socket.getInputStream());
--- a/emulator/src/main/java/merlinrouter/emulator/request/RequestRecord.java
+++ b/emulator/src/main/java/merlinrouter/emulator/request/RequestRecord.java
@@ -23,6 +23,7 @@
   private volatile boolean connectionReused;
   private volatile boolean incomplete;
   private volatile boolean endedInOrder;
+  private volatile long clientCpuWaitNanos;
 
   /**
    * Creates the record of a request that has not been sent.
@@ -123,6 +124,16 @@
     return endedInOrder;
   }
 
+  /** Records how long the client's thread waited for a CPU from the sending to the end. */
+  public void setClientCpuWaitNanos(long clientCpuWaitNanos) {
+    this.clientCpuWaitNanos = clientCpuWaitNanos;
+  }
+
+  /** How long the client's thread waited for a CPU while it waited for the response. */
+  public long clientCpuWaitNanos() {
+    return clientCpuWaitNanos;
+  }
+
   /** How the request ended. */
   public ClientOutcome outcome() {
     return outcome;
--- a/emulator/src/main/java/merlinrouter/emulator/soak/ResponseMargins.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/ResponseMargins.java
@@ -35,10 +35,12 @@
     @Override
     public String toString() {
       return String.format(
-          "%d ms left, sent at %d ms, the emulator's clients late by %d ms: %s",
+          "%d ms left, sent at %d ms, the emulator's clients late by %d ms (this one"
+              + " waited %d ms for a CPU): %s",
           Math.floorDiv(marginNanos, NANOS_PER_MILLI),
           sentMillis,
           emulatorLateNanos / NANOS_PER_MILLI,
+          request.clientCpuWaitNanos() / NANOS_PER_MILLI,
           request);
     }
   }
--- /dev/null
+++ b/emulator/src/test/java/merlinrouter/emulator/peer/CpuWaitTest.java
@@ -0,0 +1,21 @@
+package merlinrouter.emulator.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** The kernel's account of a thread's wait for a CPU. */
+class CpuWaitTest {
+  @Test
+  void theSecondNumberIsTheWait() {
+    assertEquals(708_069, CpuWait.waitedNanos("6705892 708069 7\n"));
+  }
+
+  @Test
+  void theWaitOfAThreadDoesNotShrink() {
+    long before = CpuWait.ofCurrentThreadNanos();
+    assertTrue(before >= 0);
+    assertTrue(CpuWait.ofCurrentThreadNanos() >= before);
+  }
+}
--- a/emulator/src/test/java/merlinrouter/emulator/soak/ResponseMarginsTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/soak/ResponseMarginsTest.java
@@ -72,13 +72,16 @@
 
   @Test
   void anOverdueResponseTellsTheRequestAndHowLateTheEmulatorWas() {
+    RequestRecord request = request();
+    request.setClientCpuWaitNanos(TimeUnit.MILLISECONDS.toNanos(20));
     Response response =
         new Response(
-            request(), 77, TimeUnit.MILLISECONDS.toNanos(-501), TimeUnit.MILLISECONDS.toNanos(30));
+            request, 77, TimeUnit.MILLISECONDS.toNanos(-501), TimeUnit.MILLISECONDS.toNanos(30));
     String text = response.toString();
     assertTrue(
         text.startsWith(
-            "-501 ms left, sent at 77 ms, the emulator's clients late by 30 ms: r00000001 n0"),
+            "-501 ms left, sent at 77 ms, the emulator's clients late by 30 ms (this one waited"
+                + " 20 ms for a CPU): r00000001 n0"),
         text);
   }
 
