--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import merlinrouter.emulator.fleet.Fleet;
 import merlinrouter.emulator.invariant.Invariant;
 import merlinrouter.emulator.invariant.Violation;
@@ -77,8 +78,24 @@
   @Option(
       names = "--only",
       split = ",",
-      description = "Inject only these kinds of fault: ${COMPLETION-CANDIDATES}.")
-  private List<FaultKind> kinds = List.of(FaultKind.values());
+      description =
+          "Inject only these kinds of fault: ${COMPLETION-CANDIDATES}"
+              + " (default: all but MOST_SERVERS_REPLACED).")
+  private List<FaultKind> kinds = FaultKind.defaultKinds();
+
+  @Option(
+      names = "--also",
+      split = ",",
+      description = "Inject these kinds of fault too, beside the default ones or those of --only.")
+  private List<FaultKind> furtherKinds = List.of();
+
+  @Option(
+      names = "--timeouts-ms",
+      split = ",",
+      description =
+          "Half of the clients' requests wait for one of these numbers of milliseconds"
+              + " (default: none).")
+  private List<Long> timeoutsMillis = List.of();
 
   @Option(
       names = "--hard",
@@ -106,7 +123,8 @@
             upstreamCount,
             Duration.ofSeconds(durationSeconds),
             emulatorDelayMillis,
-            kinds,
+            Stream.concat(kinds.stream(), furtherKinds.stream()).toList(),
+            new ClientTimeouts(timeoutsMillis),
             hard);
     Set<Verdict> verdicts = EnumSet.noneOf(Verdict.class);
     Path runsFolder = folder == null ? Files.createTempDirectory("soak") : folder;
@@ -125,6 +143,7 @@
     requireAtLeast("--servers", upstreamCount, 1);
     requireAtLeast("--seconds", durationSeconds, 1);
     requireAtLeast("--own-delay-ms", emulatorDelayMillis, 0);
+    timeoutsMillis.forEach(millis -> requireAtLeast("--timeouts-ms", millis, 1));
     if (!Files.isRegularFile(root.resolve(Fleet.PROGRAM))) {
       throw badOption("--root " + root + " has no built program " + Fleet.PROGRAM);
     }
@@ -162,6 +181,8 @@
         result.unknownAttempts(),
         result.faultLines().size(),
         seedFolder);
+    System.out.println("  margins: " + result.margins());
+    printFirst("    ", result.margins().overdue());
     System.out.println("  faults " + result.faultsByKind());
     System.out.println("  violations " + countsByInvariant(result.violations()));
     printFirst("  ", result.violations());
