--- a/src/main/java/merlinrouter/node/monitoring/EventLoopMonitor.java
+++ b/src/main/java/merlinrouter/node/monitoring/EventLoopMonitor.java
@@ -18,10 +18,10 @@
   /** A longer stall is counted: the rules of the service allow for this one. */
   private static final long MAX_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-  /** A shorter stall is not told of: every turn that has work to do takes some time. */
+  /** A shorter stall is not reported: every turn that has work to do takes some time. */
   private static final long MIN_REPORTED_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-  /** How far back the times of threads may go that are told with a stall. */
+  /** How far back the threads' times may go that are reported with a stall. */
   private static final long THREAD_TIMES_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   /** How many stalls are remembered for the requests that crossed them. */
--- a/src/main/java/merlinrouter/node/monitoring/ThreadTimes.java
+++ b/src/main/java/merlinrouter/node/monitoring/ThreadTimes.java
@@ -15,7 +15,7 @@
 /**
  * CPU times of the event loop's thread and of the JVM's threads that can hold it up, the garbage
  * collector's and the first compiler's, from the scheduler statistics of Linux. Without these
- * statistics, or without a free file descriptor, nothing is told. Used on the event loop only.
+ * statistics, or without a free file descriptor, nothing is reported. Used on the event loop only.
  */
 final class ThreadTimes {
   private static final Path THIS_THREAD = Path.of("/proc/thread-self");
--- a/src/main/java/merlinrouter/node/transport/EventLoops.java
+++ b/src/main/java/merlinrouter/node/transport/EventLoops.java
@@ -25,7 +25,7 @@
     };
   }
 
-  /** As {@link #newSingleLoopGroup(IoHandlerFactory)}; a listener is told of each turn. */
+  /** As {@link #newSingleLoopGroup(IoHandlerFactory)}; a listener is notified of each turn. */
   public static EventLoopGroup newSingleLoopGroup(
       IoHandlerFactory handlers, TurnListener turnListener) {
     return newSingleLoopGroup(
