Rename the connection's request dispatcher, which shared its name with the gateway's

Cause: node.downstream.RequestDispatcher and gateway.RequestDispatcher are two classes with one name on one request's way; the comments of CounterCallPriority spoke of worth, and a final field stood among the changing ones of CounterCallRateLimiter.

Change: the connection's class is RequestSubmitter, the comments say what a total changes, and the field stands with the other final ones. No behaviour changes.

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -35,7 +35,7 @@
       new RequestDecoder(this::bytesDecoded, this::earliestArrivalNanos);
   private final RequestAssembler assembler;
   private final HealthCheck healthCheck;
-  private final RequestDispatcher dispatcher;
+  private final RequestSubmitter submitter;
   private final ResponseWriter responses;
   private long activeSinceNanos;
   private boolean keepAlive;
@@ -55,7 +55,7 @@
     presence = new ClientPresence(channel, acceptThrottle.waitingSinceNanos());
     assembler = new RequestAssembler(budget);
     healthCheck = new HealthCheck(handler, registry);
-    dispatcher = new RequestDispatcher(handler, parser, state);
+    submitter = new RequestSubmitter(handler, parser, state);
     responses = new ResponseWriter(channel);
   }
 
@@ -237,7 +237,7 @@
         body.release();
         respond(health, Unpooled.EMPTY_BUFFER, 0);
       } else {
-        dispatcher.dispatch(
+        submitter.submit(
             head, body, decoder.requestArrivedNanos(), new ClientResponseSink(this, presence));
       }
     } catch (InvalidRequestException e) {
--- a/src/main/java/merlinrouter/node/downstream/RequestDispatcher.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestSubmitter.java
@@ -6,32 +6,32 @@
 import merlinrouter.node.request.OpenRequest;
 import merlinrouter.node.request.ResponseSink;
 
-/** Parses the whole requests of one connection and hands them over to the node behind it. */
-final class RequestDispatcher {
+/** Parses the whole requests of one connection and submits them to the node behind it. */
+final class RequestSubmitter {
   private final RequestHandler handler;
   private final RequestParser parser;
   private final ConnectionState state;
 
   /**
-   * Creates a dispatcher.
+   * Creates a submitter.
    *
-   * @param state of the connection, where the request is open from before it is handed over
+   * @param state of the connection, where the request is open from before it is submitted
    */
-  RequestDispatcher(RequestHandler handler, RequestParser parser, ConnectionState state) {
+  RequestSubmitter(RequestHandler handler, RequestParser parser, ConnectionState state) {
     this.handler = handler;
     this.parser = parser;
     this.state = state;
   }
 
   /**
-   * Hands a request over. The response may be written before this returns.
+   * Submits a request. The response may be written before this returns.
    *
    * @param body stays the caller's if this throws
    * @param arrivedNanos the earliest moment at which the request's last byte may have arrived
    * @param responseSink takes the response
    * @throws InvalidRequestException if the request is rejected as it stands
    */
-  void dispatch(HttpRequest head, ByteBuf body, long arrivedNanos, ResponseSink responseSink)
+  void submit(HttpRequest head, ByteBuf body, long arrivedNanos, ResponseSink responseSink)
       throws InvalidRequestException {
     ParsedRequest parsed = parser.parse(head, handler.toGatewayTime(arrivedNanos));
     OpenRequest request =
--- a/src/main/java/merlinrouter/quota/CounterCallPriority.java
+++ b/src/main/java/merlinrouter/quota/CounterCallPriority.java
@@ -7,10 +7,10 @@
  * decision would cost.
  */
 final class CounterCallPriority {
-  /** A retry follows a rejection, so the total that it needs is known better. */
+  /** The rejection before a retry rested on a total that is still recent. */
   private static final double RETRY_FACTOR = 0.3;
 
-  /** Where a total would probably confirm a rejection it is worth less. */
+  /** A total that probably confirms a rejection changes no decision. */
   private static final double USED_UP_FACTOR = 0.1;
 
   private final QuotaPlan plan;
--- a/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
+++ b/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
@@ -66,12 +66,12 @@
   private final EventClock clock;
   private final CounterHealth health;
   private final double initialCallsPerSecond;
+  private final long startedAtNanos;
   private double callsPerSecond;
   private double tokens;
   private long refilledAtNanos;
   private long adjustedAtNanos;
   private boolean deniedSinceAdjustment;
-  private final long startedAtNanos;
   private boolean slowStart = true;
   private double meanPriority;
 
