Share the stall before a timeout check between two tests of client connections

Cause: two tests of ClientRaceTest held the event loop in the same way, in fourteen lines each.

Change: both call actDuringStallBeforeTimeoutCheck; stalls, requests and checks are as they were.

--- a/src/test/java/merlinrouter/node/ClientRaceTest.java
+++ b/src/test/java/merlinrouter/node/ClientRaceTest.java
@@ -256,28 +256,15 @@
 
   /**
    * Else a request that comes while the event loop is stalled is lost if its connection has been
-   * idle for too long when the stall ends. Both tasks are due in one turn of the event loop, with
-   * no poll of the sockets between them.
+   * idle for too long when the stall ends.
    */
   @Test
   void idleConnectionIsNotClosedOverRequestThatArrivedDuringEventLoopStall() throws Exception {
     EdgeNode node = startNode(startOkServer("x"));
     Socket client = connect(node);
     assertEquals("200", requestStatus(client, "t-1"));
-    runOnEventLoop(
-        node,
-        () -> {
-          node.loop()
-              .schedule(
-                  () -> {
-                    writeKeyedRequest(client, "t-2");
-                    Thread.sleep(STALL_BEYOND_IDLE_TIMEOUT_MILLIS);
-                    return null;
-                  },
-                  0,
-                  TimeUnit.NANOSECONDS);
-          Thread.sleep(STALL_BEYOND_TIMEOUT_CHECK_MILLIS);
-        });
+    actDuringStallBeforeTimeoutCheck(
+        node, () -> writeKeyedRequest(client, "t-2"), STALL_BEYOND_IDLE_TIMEOUT_MILLIS);
     assertEquals("200", readStatus(client));
   }
 
@@ -289,20 +276,8 @@
     String head = requestHead("POST /api", requestHeaders("t-1", "order", "20000"));
     writeText(client, head + "Content-Length: 4\r\n\r\nbo");
     awaitOnEventLoop(node, () -> node.usedRequestBytes() > 0);
-    runOnEventLoop(
-        node,
-        () -> {
-          node.loop()
-              .schedule(
-                  () -> {
-                    writeText(client, "ok");
-                    Thread.sleep(STALL_BEYOND_REQUEST_TIMEOUT_MILLIS);
-                    return null;
-                  },
-                  0,
-                  TimeUnit.NANOSECONDS);
-          Thread.sleep(STALL_BEYOND_TIMEOUT_CHECK_MILLIS);
-        });
+    actDuringStallBeforeTimeoutCheck(
+        node, () -> writeText(client, "ok"), STALL_BEYOND_REQUEST_TIMEOUT_MILLIS);
     assertEquals("200", readStatus(client));
   }
 
@@ -323,6 +298,28 @@
     }
   }
 
+  /**
+   * Acts during a stall of the event loop that ends with a check of the timeouts: both tasks are
+   * due in one turn, with no poll of the sockets between them.
+   */
+  private static void actDuringStallBeforeTimeoutCheck(
+      EdgeNode node, Action action, long stallMillis) throws Exception {
+    runOnEventLoop(
+        node,
+        () -> {
+          node.loop()
+              .schedule(
+                  () -> {
+                    action.run();
+                    Thread.sleep(stallMillis);
+                    return null;
+                  },
+                  0,
+                  TimeUnit.NANOSECONDS);
+          Thread.sleep(STALL_BEYOND_TIMEOUT_CHECK_MILLIS);
+        });
+  }
+
   private static void writeText(Socket client, String text) throws IOException {
     client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
   }
