Count a request's deadline from its first byte, not from its last

What callers saw: a request whose body was read after its head got the time between the two added to its deadline.

The client's timeout counts from the moment at which it sends the request. A client's system without TCP_NODELAY sends the body once the head is acknowledged; the head is read in the first poll after a stall and the body in the second, so that the request counted as one from after the stall.

Change: the time counts from the earliest arrival of the first byte, line ends before it aside.

Why it works: whatever polls the parts are read in, the deadline is the client's or earlier.

Tests: DeadlineRaceTest.forwardedTimeoutExcludesTimeBetweenFirstAndLastByteOfRequest failed before (19,954 ms forwarded 300 ms after the first bytes of 20,000).

--- a/src/main/java/merlinrouter/node/downstream/ArrivalTimes.java
+++ b/src/main/java/merlinrouter/node/downstream/ArrivalTimes.java
@@ -44,20 +44,22 @@
   }
 
   /**
-   * Forgets bytes that were decoded. At least one byte must have been waiting before.
+   * The earliest moment at which the next byte to be decoded may have arrived. At least one byte
+   * must be waiting.
+   */
+  long nextByteArrivedNanos() {
+    return reads.element().arrivedNanos;
+  }
+
+  /**
+   * Forgets bytes that were decoded.
    *
    * @param waitingBytes how many of the received bytes still wait
-   * @return the earliest moment at which the last decoded byte may have arrived
    */
-  long decodedUpTo(int waitingBytes) {
+  void decodedUpTo(int waitingBytes) {
     long decodedOffset = receivedBytes - waitingBytes;
-    while (reads.size() > 1 && reads.peek().endOffset < decodedOffset) {
-      reads.poll();
-    }
-    Read lastDecoded = reads.peek();
-    if (lastDecoded.endOffset == decodedOffset) {
-      reads.poll();
+    while (!reads.isEmpty() && reads.element().endOffset <= decodedOffset) {
+      reads.remove();
     }
-    return lastDecoded.arrivedNanos;
   }
 }
--- a/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
@@ -70,12 +70,12 @@
       input.skipBytes(input.readableBytes());
     } else if (!paused) {
       int startIndex = input.readerIndex();
+      if (!partDecoded) {
+        requestArrivedNanos = arrivalTimes.nextByteArrivedNanos();
+      }
       super.decode(decodeContext, input, output);
       paused = !output.isEmpty() && output.get(output.size() - 1) instanceof LastHttpContent;
-      long lastByteArrivedNanos = arrivalTimes.decodedUpTo(input.readableBytes());
-      if (paused) {
-        requestArrivedNanos = lastByteArrivedNanos;
-      }
+      arrivalTimes.decodedUpTo(input.readableBytes());
       partDecoded = !paused && (partDecoded || isMoreThanLineEnds(input, startIndex));
     }
   }
@@ -86,7 +86,10 @@
     return input.forEachByte(startIndex, length, ByteProcessor.FIND_NON_CRLF) >= 0;
   }
 
-  /** The earliest moment at which the last byte of the last decoded request may have arrived. */
+  /**
+   * The earliest moment at which the first byte of the last decoded request may have arrived. Its
+   * client's timeout counts from then, however late the rest arrives.
+   */
   long requestArrivedNanos() {
     return requestArrivedNanos;
   }
--- a/src/main/java/merlinrouter/node/downstream/RequestSubmitter.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestSubmitter.java
@@ -27,7 +27,7 @@
    * Submits a request. The response may be written before this returns.
    *
    * @param body stays the caller's if this throws
-   * @param arrivedNanos the earliest moment at which the request's last byte may have arrived
+   * @param arrivedNanos the earliest moment at which the request's first byte may have arrived
    * @param responseSink takes the response
    * @throws InvalidRequestException if the request is rejected as it stands
    */
--- a/src/main/java/merlinrouter/node/request/RequestTimeline.java
+++ b/src/main/java/merlinrouter/node/request/RequestTimeline.java
@@ -29,7 +29,7 @@
   /**
    * Creates a timeline of a request that is not read yet.
    *
-   * @param arrivedAtNanos the earliest moment at which its last byte may have arrived
+   * @param arrivedAtNanos the earliest moment at which its first byte may have arrived
    * @param timeoutNanos how long its client waits from then
    */
   public RequestTimeline(long arrivedAtNanos, long timeoutNanos) {
@@ -37,7 +37,7 @@
     clientDeadlineNanos = arrivedAtNanos + timeoutNanos;
   }
 
-  /** The earliest moment at which the request's last byte may have arrived. */
+  /** The earliest moment at which the request's first byte may have arrived. */
   public long arrivedAtNanos() {
     return arrivedAtNanos;
   }
--- a/src/test/java/merlinrouter/node/ClientRaceTest.java
+++ b/src/test/java/merlinrouter/node/ClientRaceTest.java
@@ -6,7 +6,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -319,8 +318,4 @@
           Thread.sleep(STALL_BEYOND_TIMEOUT_CHECK_MILLIS);
         });
   }
-
-  private static void writeText(Socket client, String text) throws IOException {
-    client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-  }
 }
--- a/src/test/java/merlinrouter/node/DeadlineRaceTest.java
+++ b/src/test/java/merlinrouter/node/DeadlineRaceTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -21,6 +22,7 @@
   private static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final long IDLE_BEFORE_FIRST_REQUEST_MILLIS = 500;
   private static final long ACCEPT_STALL_MILLIS = 500;
+  private static final long PAUSE_WITHIN_REQUEST_MILLIS = 300;
 
   /** How many connections one poll accepts. */
   private static final int ACCEPTS_PER_POLL = 16;
@@ -94,6 +96,32 @@
         "forwarded " + forwardedMillis + " ms while " + leftMillis + " were left");
   }
 
+  /** Else the time that a request takes to arrive is added to its client's timeout. */
+  @Test
+  void forwardedTimeoutExcludesTimeBetweenFirstAndLastByteOfRequest() throws Exception {
+    ScriptedServer server = startOkServer("x");
+    EdgeNode node = startNode(server);
+    String head = requestHead("POST /api", requestHeaders("t-1", "order", "20000"));
+    String request = head + "Content-Length: 4\r\n\r\nbook";
+    int withinRequestLine = "POST /a".length();
+    int withinHead = head.length() - 1;
+    int withinBody = request.length() - 2;
+    for (int firstPart : List.of(withinRequestLine, withinHead, withinBody)) {
+      Socket client = connect(node);
+      writeText(client, request.substring(0, firstPart));
+      awaitOnEventLoop(node, () -> node.usedRequestBytes() > 0);
+      long firstPartReadAtNanos = System.nanoTime();
+      Thread.sleep(PAUSE_WITHIN_REQUEST_MILLIS);
+      final long pausedNanos = System.nanoTime() - firstPartReadAtNanos;
+      writeText(client, request.substring(firstPart));
+      long forwardedMillis = forwardedTimeoutMillis(server.awaitRequest());
+      assertTrue(
+          forwardedMillis <= 20_000 - TimeUnit.NANOSECONDS.toMillis(pausedNanos),
+          "forwarded " + forwardedMillis + " ms, first part of " + firstPart + " bytes");
+      assertEquals("200", readStatus(client));
+    }
+  }
+
   /** The client connects during a stall of the event loop, behind as many as one poll accepts. */
   @Test
   void forwardedTimeoutExcludesWaitForAcceptBehindAsManyClientsAsOnePollAccepts() throws Exception {
