--- a/src/test/java/merlinrouter/node/EventLoopFixture.java
+++ b/src/test/java/merlinrouter/node/EventLoopFixture.java
@@ -65,11 +65,6 @@
     node.loop().schedule(() -> {}, QUIET_PERIOD_OVER_MILLIS, TimeUnit.MILLISECONDS).get();
   }
 
-  /** Writes a part of a request, or several requests. */
-  static void writeText(Socket client, String text) throws IOException {
-    client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-  }
-
   /** Writes a request that may be repeated without an idempotency key. */
   static void writeIdempotentRequest(Socket client, String requestId) throws IOException {
     writeRequest(client, "GET /api", requestHeaders(requestId, "lookup", "20000"), "");
--- a/src/test/java/merlinrouter/node/MisbehavingClientTest.java
+++ b/src/test/java/merlinrouter/node/MisbehavingClientTest.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,10 +19,6 @@
 /** Clients that send invalid requests, too much, too little or nothing. */
 @Timeout(120)
 class MisbehavingClientTest extends NodeFixture {
-  private static void send(Socket client, String text) throws IOException {
-    client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-  }
-
   private static String keyedRequestHead(String requestId) {
     return requestHead("POST /api", requestHeaders(requestId, "order", "20000"));
   }
@@ -74,7 +69,7 @@
             "nonsense\r\n\r\n",
             "\u0000\u0001\u0002\r\n\r\n")) {
       Socket client = connect(node);
-      send(client, bad + valid);
+      writeText(client, bad + valid);
       assertRejected(client, "400", bad);
     }
     assertTrue(server.received.isEmpty(), "none of these may reach an endpoint");
@@ -92,7 +87,7 @@
             "Transfer-Encoding: chunked\r\n\r\n"
                 + ("1000\r\n" + "x".repeat(4096) + "\r\n").repeat(17))) {
       Socket client = connect(node);
-      send(client, head + bad);
+      writeText(client, head + bad);
       assertRejected(client, "413", bad.substring(0, 24));
     }
     assertTrue(server.received.isEmpty());
@@ -108,9 +103,9 @@
     writeKeyedRequest(busy, "t-1");
     server.awaitRequest();
     Socket halfHead = connect(node);
-    send(halfHead, "POST /api HTTP/1.1\r\nX-");
+    writeText(halfHead, "POST /api HTTP/1.1\r\nX-");
     Socket halfBody = connect(node);
-    send(halfBody, keyedRequestHead("t-2") + "Content-Length: 9\r\n\r\nhalf");
+    writeText(halfBody, keyedRequestHead("t-2") + "Content-Length: 9\r\n\r\nhalf");
     Socket silent = connect(node);
     assertRejected(halfHead, "408", "half a head");
     assertRejected(halfBody, "408", "half a body");
--- a/src/test/java/merlinrouter/node/NodeFixture.java
+++ b/src/test/java/merlinrouter/node/NodeFixture.java
@@ -200,7 +200,12 @@
             + body.length()
             + "\r\n\r\n"
             + body;
-    client.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+    writeText(client, request);
+  }
+
+  /** Writes a part of a request, or several requests. */
+  static void writeText(Socket client, String text) throws IOException {
+    client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
   }
 
   /** The request line and the headers, without the empty line that ends them. */
