--- a/review/standins/Bed.java
+++ b/review/standins/Bed.java
@@ -50,7 +50,8 @@
     try (Bed bed = new Bed(arguments[0], arguments[1])) {
       status = test.run(bed);
       bed.say("exit " + status);
-    } catch (Exception e) {
+    } catch (Throwable e) {
+      status = COULD_NOT_RUN;
       e.printStackTrace();
     }
     Runtime.getRuntime().halt(status);
