Limit how much client connections decode in a turn of the event loop

Cause: ClientPresence.readAvailable reads and decodes as long as bytes arrive, and ConnectionRegistry.enforceTimeouts called it for all timed-out connections in one task; a poll decodes up to 8 KB from each connection besides. A chunk of one byte takes three steps of the decoder, so a body takes 50 ms. Evidence: five of six thread dumps show the loop in enforceTimeouts, rejectUnlessReceived, readAvailable, the first one in a poll; the log shows turns of 155 to 372 ms in polls and then one that did not end.

Change: a connection decodes 512 steps in a turn and all together 4,096, and as many again for connections that continue, in the order in which they wait (DecodingScheduler). It is not read meanwhile. A request whose time is over while bytes wait to be decoded gets 408 after another 100 ms. What a turn costs no longer depends on what clients have sent; no size or number of chunks is limited more. Bytes behind a pause of reading count as arrived when the pause began.

--- a/src/main/java/merlinrouter/node/EdgeNode.java
+++ b/src/main/java/merlinrouter/node/EdgeNode.java
@@ -170,6 +170,11 @@
     return pollTimestamps.previousPollNanos();
   }
 
+  @Override
+  public long pollCount() {
+    return pollTimestamps.pollCount();
+  }
+
   @Override
   public long toGatewayTime(long nanoTime) {
     return clock.fromNanoTime(nanoTime);
@@ -215,6 +220,11 @@
     return budget.usedBytes();
   }
 
+  /** Returns how many requests are open. Called on the event loop only. */
+  int openRequestCount() {
+    return host.openRequestCount();
+  }
+
   /** Returns how many client connections are not being read. Called on the event loop only. */
   int readingPausedCount() {
     return clients.readingPausedCount();
--- a/src/main/java/merlinrouter/node/GatewayHost.java
+++ b/src/main/java/merlinrouter/node/GatewayHost.java
@@ -94,6 +94,11 @@
     return counterClient;
   }
 
+  /** Returns how many requests are open: without a response, or with an attempt in flight. */
+  int openRequestCount() {
+    return openRequests.size();
+  }
+
   /**
    * Accepts a request and passes it to the gateway.
    *
--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -15,6 +15,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import merlinrouter.node.http.DecodingScheduler;
+import merlinrouter.node.http.DecodingShare;
 import merlinrouter.node.logging.ErrorLog;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.request.OpenRequest;
@@ -25,19 +28,25 @@
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject>
     implements TrackedConnection {
+  /**
+   * How long a request may take to be decoded once its time to be received is over. With that time
+   * and the interval of the checks it is rejected within 3 s of the accept.
+   */
+  private static final long DECODING_GRACE_MILLIS = 100;
+
   private final Channel channel;
   private final RequestHandler handler;
   private final ConnectionRegistry registry;
   private final AcceptThrottle acceptThrottle;
   private final ClientPresence presence;
   private final ConnectionState state = new ConnectionState();
-  private final RequestDecoder decoder =
-      new RequestDecoder(this::bytesDecoded, this::earliestArrivalNanos);
+  private final DecodingShare decodingShare;
+  private final ReadControl reading;
+  private final RequestDecoder decoder;
   private final RequestAssembler assembler;
   private final HealthCheck healthCheck;
   private final RequestSubmitter submitter;
   private final ResponseWriter responses;
-  private long activeSinceNanos;
   private boolean keepAlive;
 
   /** Creates the handler of an accepted connection; call {@link #configurePipeline} next. */
@@ -47,12 +56,16 @@
       RequestParser parser,
       MemoryBudget budget,
       ConnectionRegistry registry,
-      AcceptThrottle acceptThrottle) {
+      AcceptThrottle acceptThrottle,
+      DecodingScheduler decodingScheduler) {
     this.channel = channel;
     this.handler = handler;
     this.registry = registry;
     this.acceptThrottle = acceptThrottle;
     presence = new ClientPresence(channel, acceptThrottle.waitingSinceNanos());
+    decodingShare = decodingScheduler.newShare(this::continueDecoding);
+    reading = new ReadControl(channel, presence, decodingShare, handler::previousPollNanos);
+    decoder = new RequestDecoder(decodingShare, this::bytesDecoded, reading::earliestArrivalNanos);
     assembler = new RequestAssembler(budget);
     healthCheck = new HealthCheck(handler, registry);
     submitter = new RequestSubmitter(handler, parser, state);
@@ -96,8 +109,7 @@
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
-    // The event loop polls the socket from now on.
-    activeSinceNanos = System.nanoTime();
+    reading.channelActivated();
     if (!registry.add(this)) {
       // At the limit, new connections wait in the kernel's backlog until another one closes. The
       // listening channel is taken from this one's parent because the first clients may be accepted
@@ -112,15 +124,34 @@
       state.startReceiving();
     }
     updateBudget();
-    if (decoder.isPaused() && assembler.hasTooManyPipelinedBytes(decoder.undecodedBytes())) {
-      presence.pauseReading();
-    } else if (state.isReceiving() && !state.isClosing()) {
+    boolean readsAhead = mayReadAhead();
+    if (readsAhead && state.isReceiving() && !state.isClosing()) {
       try {
         assembler.checkBudget();
       } catch (InvalidRequestException e) {
         rejectAndClose(e);
       }
     }
+    // A connection that is closing is not read again once reading is paused.
+    if (!readsAhead || !state.isClosing()) {
+      reading.update(readsAhead);
+    }
+  }
+
+  /** Returns whether there is room for further bytes behind the request that was received last. */
+  private boolean mayReadAhead() {
+    return !decoder.isPaused() || !assembler.hasTooManyPipelinedBytes(decoder.undecodedBytes());
+  }
+
+  private void continueDecoding() {
+    if (state.isClosing() || !channel.isActive()) {
+      return;
+    }
+    try {
+      decoder.decodeReceived();
+    } catch (Exception e) {
+      closeOnError(e);
+    }
   }
 
   private void updateBudget() {
@@ -137,15 +168,35 @@
     }
   }
 
-  /** Rejects the request that is being received, unless the rest of it has arrived by now. */
+  /**
+   * Rejects the request that is being received, unless the rest of it has arrived by now. If
+   * received bytes are still to be decoded, it may continue for a short time.
+   */
   private void rejectUnlessReceived() {
-    if (!readAndCheckRequestArrived() && !state.isClosing()) {
-      rejectAndClose(
-          new InvalidRequestException(
-              HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come"));
+    if (readAndCheckRequestArrived() || state.isClosing()) {
+      return;
+    }
+    if (decodingShare.isExhausted()) {
+      channel
+          .eventLoop()
+          .schedule(this::rejectIfTimedOut, DECODING_GRACE_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      rejectTimedOut();
+    }
+  }
+
+  private void rejectIfTimedOut() {
+    if (state.isReceiveTimedOut(System.nanoTime()) && !isRequestComplete()) {
+      rejectTimedOut();
     }
   }
 
+  private void rejectTimedOut() {
+    rejectAndClose(
+        new InvalidRequestException(
+            HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come"));
+  }
+
   @Override
   public boolean initiateClose(String reason) {
     if (readAndCheckRequestArrived() || !handler.guard().mayClose(state.openRequest(), reason)) {
@@ -194,6 +245,12 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    presence.readCompleted();
+    context.fireChannelReadComplete();
+  }
+
   private void assemble(HttpObject part) throws InvalidRequestException {
     if (part.decoderResult().isFailure()) {
       throw InvalidRequestException.badRequest("this is no request that can be read");
@@ -215,16 +272,6 @@
     }
   }
 
-  /** Returns the earliest time at which bytes that are read now may have arrived. */
-  private long earliestArrivalNanos() {
-    long previousPollNanos = handler.previousPollNanos();
-    // Bytes from the first poll of the socket may have arrived as early as the connection.
-    boolean isFirstPoll = previousPollNanos - activeSinceNanos < 0;
-    return presence.wasReadingPaused() || isFirstPoll
-        ? presence.lastSeenNanos()
-        : previousPollNanos;
-  }
-
   private void handleRequest() {
     if (state.isClosing() || !channel.isActive()) {
       return;
--- a/src/main/java/merlinrouter/node/downstream/ClientListener.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientListener.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import merlinrouter.node.config.NodeConfig;
+import merlinrouter.node.http.DecodingScheduler;
 import merlinrouter.node.transport.EventLoops;
 import merlinrouter.node.transport.Transport;
 
@@ -41,6 +42,7 @@
   private final MemoryBudget budget;
   private final RequestParser parser;
   private final ConnectionRegistry registry;
+  private final DecodingScheduler decodingScheduler;
   private AcceptThrottle acceptThrottle;
   private Channel listeningChannel;
   private long bindStartedNanos;
@@ -63,6 +65,9 @@
             config.settings(),
             handler::deadlineNanos);
     registry = new ConnectionRegistry(config.maxSockets());
+    decodingScheduler =
+        new DecodingScheduler(
+            handler::pollCount, task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
     loop.scheduleAtFixedRate(
         registry::enforceTimeouts,
         TIMEOUT_CHECK_INTERVAL_NANOS,
@@ -114,7 +119,8 @@
   }
 
   private ClientConnection newConnection(Channel channel) {
-    return new ClientConnection(channel, handler, parser, budget, registry, acceptThrottle);
+    return new ClientConnection(
+        channel, handler, parser, budget, registry, acceptThrottle, decodingScheduler);
   }
 
   private void bindCompleted(ChannelFuture future, CompletableFuture<Void> bound) {
--- a/src/main/java/merlinrouter/node/downstream/ClientPresence.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientPresence.java
@@ -19,8 +19,12 @@
 
   private final Channel channel;
   private long lastSeenNanos;
+
+  /** Whether reading was paused, and not everything has been read since. */
   private boolean readingPaused;
 
+  private long unreadSinceNanos;
+
   /**
    * Starts to track the client of an accepted connection.
    *
@@ -31,17 +35,35 @@
     this.lastSeenNanos = waitingSinceNanos;
   }
 
-  /** Stops reading: from now on, bytes may stay unread for an unlimited time. */
-  void pauseReading() {
-    readingPaused = true;
+  /**
+   * Stops reading: from now on, bytes may stay unread for an unlimited time.
+   *
+   * @param unreadSinceNanos the earliest time at which bytes that are unread now may have arrived
+   */
+  void pauseReading(long unreadSinceNanos) {
+    if (!readingPaused) {
+      readingPaused = true;
+      this.unreadSinceNanos = unreadSinceNanos;
+    }
     channel.config().setAutoRead(false);
   }
 
   /**
-   * Returns whether bytes that are read now may have arrived as early as {@link #lastSeenNanos}.
+   * Returns the earliest time at which bytes that are read now may have arrived.
+   *
+   * @param unpausedNanos the same if reading has not been paused
    */
-  boolean wasReadingPaused() {
-    return readingPaused;
+  long earliestArrivalNanos(long unpausedNanos) {
+    return readingPaused ? unreadSinceNanos : unpausedNanos;
+  }
+
+  /** Handles the end of a series of reads, which may have left nothing unread. */
+  @SuppressWarnings("deprecation") // Channel.Unsafe offers no other type of handle
+  void readCompleted() {
+    RecvByteBufAllocator.Handle lastRead = channel.unsafe().recvBufAllocHandle();
+    if (isReadable() && lastRead.lastBytesRead() < lastRead.attemptedBytesRead()) {
+      readingPaused = false;
+    }
   }
 
   /** Returns when the client was last known to be connected. */
--- a/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
@@ -10,6 +10,7 @@
 import io.netty.util.ByteProcessor;
 import java.util.List;
 import java.util.function.LongSupplier;
+import merlinrouter.node.http.DecodingShare;
 import merlinrouter.node.http.HeaderHeapEstimate;
 
 /**
@@ -18,6 +19,7 @@
  * may be decoded at all.
  */
 final class RequestDecoder extends HttpRequestDecoder {
+  private final DecodingShare share;
   private final Runnable readListener;
   private final LongSupplier earliestArrivalNanos;
   private final ArrivalTimes arrivalTimes = new ArrivalTimes();
@@ -35,10 +37,12 @@
   /**
    * Creates a decoder.
    *
+   * @param share limits how much is decoded at a time
    * @param readListener called after each read, once all bytes that may be decoded have been
    * @param earliestArrivalNanos the earliest time at which bytes that are read now may have arrived
    */
-  RequestDecoder(Runnable readListener, LongSupplier earliestArrivalNanos) {
+  RequestDecoder(DecodingShare share, Runnable readListener, LongSupplier earliestArrivalNanos) {
+    this.share = share;
     this.readListener = readListener;
     this.earliestArrivalNanos = earliestArrivalNanos;
   }
@@ -72,7 +76,7 @@
       throws Exception {
     if (stopped) {
       input.skipBytes(input.readableBytes());
-    } else if (!paused) {
+    } else if (!paused && share.mayDecode()) {
       int startIndex = input.readerIndex();
       if (!partDecoded) {
         requestArrivedNanos = arrivalTimes.nextByteArrivedNanos();
@@ -95,6 +99,7 @@
       headers.addBytes(undecodedBefore - input.readableBytes());
     }
     headDecoded |= !output.isEmpty() && output.get(0) instanceof HttpRequest;
+    share.addSteps(1 + headers.lines() - linesBefore);
   }
 
   @Override
@@ -151,10 +156,15 @@
   void resume() throws Exception {
     paused = false;
     if (undecodedBytes() > 0) {
-      channelRead(context, Unpooled.EMPTY_BUFFER);
+      decodeReceived();
     }
   }
 
+  /** Decodes received bytes that are not decoded yet, as far as the share allows it. */
+  void decodeReceived() throws Exception {
+    channelRead(context, Unpooled.EMPTY_BUFFER);
+  }
+
   /** Discards all further bytes without decoding them. */
   void stop() {
     stopped = true;
--- a/src/main/java/merlinrouter/node/transport/PollTimestamps.java
+++ b/src/main/java/merlinrouter/node/transport/PollTimestamps.java
@@ -10,9 +10,11 @@
 public final class PollTimestamps implements SelectStrategy {
   private long previousPollNanos = System.nanoTime();
   private long lastPollNanos = previousPollNanos;
+  private long pollCount;
 
   @Override
   public int calculateStrategy(IntSupplier pollWithoutBlocking, boolean hasTasks) throws Exception {
+    pollCount++;
     previousPollNanos = lastPollNanos;
     lastPollNanos = System.nanoTime();
     return hasTasks ? pollWithoutBlocking.get() : SelectStrategy.SELECT;
@@ -25,4 +27,9 @@
   public long previousPollNanos() {
     return previousPollNanos;
   }
+
+  /** Returns how many polls have begun, which is the number of the event loop's current turn. */
+  public long pollCount() {
+    return pollCount;
+  }
 }
--- a/src/test/java/merlinrouter/node/ClientRaceTest.java
+++ b/src/test/java/merlinrouter/node/ClientRaceTest.java
@@ -8,7 +8,6 @@
 import java.net.Socket;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -19,11 +18,10 @@
  */
 @Timeout(120)
 class ClientRaceTest extends EventLoopFixture {
-  /** Longer than the interval at which the timeouts of connections are checked. */
-  private static final long STALL_BEYOND_TIMEOUT_CHECK_MILLIS = 300;
+  /** Each is decoded in three steps, of which a connection may take 512 in a turn. */
+  private static final int CHUNKS_FOR_TWO_TURNS = 200;
 
   private static final long STALL_BEYOND_IDLE_TIMEOUT_MILLIS = 2_200;
-  private static final long STALL_BEYOND_REQUEST_TIMEOUT_MILLIS = 2_700;
 
   private static final String NOT_EXECUTED_RESPONSE =
       "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
@@ -304,6 +302,21 @@
     assertEquals("200", readStatus(client));
   }
 
+  /** Like the previous test, but the rest takes several turns of the event loop to decode. */
+  @Test
+  void requestOfManyChunksCompletedDuringEventLoopStallIsNotTimedOut() throws Exception {
+    EdgeNode node = startNode(startOkServer("x"));
+    Socket client = connect(node);
+    String head = requestHead("POST /api", requestHeaders("t-1", "order", "20000"));
+    writeText(client, head + "Transfer-Encoding: chunked\r\n\r\n");
+    awaitOnEventLoop(node, () -> node.usedRequestBytes() > 0);
+    runDuringStallBeforeTimeoutCheck(
+        node,
+        () -> writeText(client, "1\r\nx\r\n".repeat(CHUNKS_FOR_TWO_TURNS) + "0\r\n\r\n"),
+        STALL_BEYOND_REQUEST_TIMEOUT_MILLIS);
+    assertEquals("200", readStatus(client));
+  }
+
   /**
    * A response that fills the write buffer resumes decoding twice: once by itself, and once when
    * the buffer is writable again. Each pipelined request must still get one response.
@@ -323,26 +336,4 @@
       readStatus(client);
     }
   }
-
-  /**
-   * Runs an action in a stall of the event loop that a check of the timeouts directly follows: both
-   * tasks are due in one turn, with no poll of the sockets between them.
-   */
-  private static void runDuringStallBeforeTimeoutCheck(
-      EdgeNode node, Action action, long stallMillis) throws Exception {
-    runOnEventLoop(
-        node,
-        () -> {
-          node.loop()
-              .schedule(
-                  () -> {
-                    action.run();
-                    Thread.sleep(stallMillis);
-                    return null;
-                  },
-                  0,
-                  TimeUnit.NANOSECONDS);
-          Thread.sleep(STALL_BEYOND_TIMEOUT_CHECK_MILLIS);
-        });
-  }
 }
--- a/src/test/java/merlinrouter/node/EventLoopFixture.java
+++ b/src/test/java/merlinrouter/node/EventLoopFixture.java
@@ -26,6 +26,12 @@
   /** Longer than the quiet period: a connection is not reused within 10 ms of a response. */
   private static final long BEYOND_QUIET_PERIOD_MILLIS = 30;
 
+  /** Longer than the interval at which the timeouts of connections are checked. */
+  private static final long STALL_BEYOND_TIMEOUT_CHECK_MILLIS = 300;
+
+  /** Longer than receiving a request may take. */
+  static final long STALL_BEYOND_REQUEST_TIMEOUT_MILLIS = 2_700;
+
   /** A task for the event loop, which it may block. */
   interface Action {
     void run() throws Exception;
@@ -46,6 +52,28 @@
         });
   }
 
+  /**
+   * Runs an action in a stall of the event loop that a check of the timeouts directly follows: both
+   * tasks are due in one turn, with no poll of the sockets between them.
+   */
+  static void runDuringStallBeforeTimeoutCheck(EdgeNode node, Action action, long stallMillis)
+      throws Exception {
+    runOnEventLoop(
+        node,
+        () -> {
+          node.loop()
+              .schedule(
+                  () -> {
+                    action.run();
+                    Thread.sleep(stallMillis);
+                    return null;
+                  },
+                  0,
+                  TimeUnit.NANOSECONDS);
+          Thread.sleep(STALL_BEYOND_TIMEOUT_CHECK_MILLIS);
+        });
+  }
+
   /** Waits until a condition holds, which is evaluated on the event loop. */
   static void awaitOnEventLoop(EdgeNode node, Callable<Boolean> condition) throws Exception {
     while (!callOnEventLoop(node, condition)) {
