Limit how much responses of endpoints decode in a turn of the event loop

Callers saw: where one in five responses came in 60,000 chunks of one byte, at 140 requests a second, 125 of 1,830 requests were answered over 0.5 s after their time, or never, and 83 late.

Change: ScheduledResponseDecoder takes its steps from a DecodingScheduler, and does not read while received bytes are left. Endpoints have a scheduler of their own, so that bytes of clients cannot delay responses. The counter keeps its plain decoder: its responses end at 1 KiB.

Measured: DecodingTurnTest.timersRunBeforeAllSmallChunksOfResponsesAreDecoded failed before (the response decoded in one turn) and passes.

--- a/src/main/java/merlinrouter/node/EdgeNode.java
+++ b/src/main/java/merlinrouter/node/EdgeNode.java
@@ -16,6 +16,7 @@
 import merlinrouter.node.downstream.ClientListener;
 import merlinrouter.node.downstream.MemoryBudget;
 import merlinrouter.node.downstream.RequestHandler;
+import merlinrouter.node.http.DecodingScheduler;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.monitoring.EventLoopMonitor;
 import merlinrouter.node.request.InvariantGuard;
@@ -70,12 +71,27 @@
     budget = new MemoryBudget(config.memoryLimitBytes());
     deadlineMargin = new DeadlineMargin(config.cores());
     shutdownDeadline = new ShutdownDeadline(config.settings().requestClasses());
-    host = new GatewayHost(loop, config, log, clock, budget, guard, monitor.responseTimes());
+    host =
+        new GatewayHost(
+            loop,
+            config,
+            log,
+            clock,
+            budget,
+            guard,
+            monitor.responseTimes(),
+            newDecodingScheduler());
     EndpointStartTimes startTimes =
         new EndpointStartTimes(config.settings().rules().slowStartDurationNanos(), log);
     endpointUpdater = new EndpointListUpdater(host, startTimes, clock);
     discovery = new DiscoveryClient(endpointUpdater, loop, config, log);
-    clients = new ClientListener(this, loop, config, budget);
+    clients = new ClientListener(this, loop, config, budget, newDecodingScheduler());
+  }
+
+  /** Separate ones for clients and endpoints: neither can delay what the others have sent. */
+  private DecodingScheduler newDecodingScheduler() {
+    return new DecodingScheduler(
+        pollTimestamps::pollCount, task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
   }
 
   /**
@@ -170,11 +186,6 @@
     return pollTimestamps.previousPollNanos();
   }
 
-  @Override
-  public long pollCount() {
-    return pollTimestamps.pollCount();
-  }
-
   @Override
   public long toGatewayTime(long nanoTime) {
     return clock.fromNanoTime(nanoTime);
--- a/src/main/java/merlinrouter/node/GatewayHost.java
+++ b/src/main/java/merlinrouter/node/GatewayHost.java
@@ -18,6 +18,7 @@
 import merlinrouter.node.counter.CounterClient;
 import merlinrouter.node.counter.CounterResult;
 import merlinrouter.node.downstream.MemoryBudget;
+import merlinrouter.node.http.DecodingScheduler;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.monitoring.ResponseTimes;
 import merlinrouter.node.request.InvariantGuard;
@@ -64,7 +65,8 @@
       NodeClock clock,
       MemoryBudget budget,
       InvariantGuard guard,
-      ResponseTimes responseTimes) {
+      ResponseTimes responseTimes,
+      DecodingScheduler responseDecoding) {
     this.loop = loop;
     this.config = config;
     this.log = log;
@@ -73,7 +75,7 @@
     this.guard = guard;
     this.responseTimes = responseTimes;
     events = new EventDelivery(loop, clock, this::failExpired);
-    upstreamPool = new UpstreamPool(this, loop, config, log);
+    upstreamPool = new UpstreamPool(this, loop, config, log, responseDecoding);
     counterClient = new CounterClient(this::counterCallEnded, loop, config);
   }
 
--- a/src/main/java/merlinrouter/node/downstream/ClientListener.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientListener.java
@@ -51,9 +51,14 @@
    * Creates a listener that is not bound yet.
    *
    * @param budget limits the bytes held by the requests of all connections
+   * @param decodingScheduler shares the event loop among the requests of all connections
    */
   public ClientListener(
-      RequestHandler handler, EventLoop loop, NodeConfig config, MemoryBudget budget) {
+      RequestHandler handler,
+      EventLoop loop,
+      NodeConfig config,
+      MemoryBudget budget,
+      DecodingScheduler decodingScheduler) {
     this.handler = handler;
     this.loop = loop;
     this.budget = budget;
@@ -65,9 +70,7 @@
             config.settings(),
             handler::deadlineNanos);
     registry = new ConnectionRegistry(config.maxSockets());
-    decodingScheduler =
-        new DecodingScheduler(
-            handler::pollCount, task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
+    this.decodingScheduler = decodingScheduler;
     loop.scheduleAtFixedRate(
         registry::enforceTimeouts,
         TIMEOUT_CHECK_INTERVAL_NANOS,
--- a/src/main/java/merlinrouter/node/downstream/RequestHandler.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestHandler.java
@@ -30,9 +30,6 @@
    */
   long previousPollNanos();
 
-  /** Returns how often the event loop has polled its sockets: the number of its current turn. */
-  long pollCount();
-
   /** Converts a time of {@link System#nanoTime} to the clock that the gateway's decisions use. */
   long toGatewayTime(long nanoTime);
 
--- a/src/main/java/merlinrouter/node/http/ResponseDecoder.java
+++ b/src/main/java/merlinrouter/node/http/ResponseDecoder.java
@@ -17,7 +17,7 @@
  *
  * <p>A malformed response is reported as a failed decoder result or as a {@link DecoderException}.
  */
-public final class ResponseDecoder extends HttpResponseDecoder {
+public class ResponseDecoder extends HttpResponseDecoder {
   private static final byte[] VERSION_PREFIX = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
   private boolean betweenResponses = true;
--- a/src/main/java/merlinrouter/node/upstream/Connector.java
+++ b/src/main/java/merlinrouter/node/upstream/Connector.java
@@ -10,7 +10,9 @@
 import java.util.concurrent.TimeUnit;
 import merlinrouter.model.Outcome;
 import merlinrouter.node.config.NodeConfig;
+import merlinrouter.node.http.DecodingScheduler;
 import merlinrouter.node.http.ResponseDecoder;
+import merlinrouter.node.http.ScheduledResponseDecoder;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.transport.Transport;
 
@@ -34,7 +36,12 @@
   private final Bootstrap bootstrap;
   private int connections;
 
-  Connector(EventLoop loop, NodeConfig config, NodeLog log) {
+  /**
+   * Creates a connector without connections.
+   *
+   * @param decodingScheduler shares the event loop among the connections' responses
+   */
+  Connector(EventLoop loop, NodeConfig config, NodeLog log, DecodingScheduler decodingScheduler) {
     this.loop = loop;
     this.log = log;
     connectTimeoutNanos = Math.max(MIN_CONNECT_TIMEOUT_NANOS, config.connectTimeoutNanos());
@@ -47,7 +54,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    ResponseDecoder decoder = new ResponseDecoder();
+                    ResponseDecoder decoder = new ScheduledResponseDecoder(decodingScheduler);
                     channel
                         .pipeline()
                         .addLast(
--- a/src/main/java/merlinrouter/node/upstream/UpstreamPool.java
+++ b/src/main/java/merlinrouter/node/upstream/UpstreamPool.java
@@ -7,6 +7,7 @@
 import merlinrouter.model.Outcome;
 import merlinrouter.node.config.EndpointList;
 import merlinrouter.node.config.NodeConfig;
+import merlinrouter.node.http.DecodingScheduler;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.request.OpenRequest;
 
@@ -37,11 +38,17 @@
    * @param loop the event loop of the pool and its connections
    * @param config timeouts and limits
    * @param log records skipped attempts and failures
+   * @param decodingScheduler shares the event loop among the responses of endpoints
    */
-  public UpstreamPool(AttemptListener listener, EventLoop loop, NodeConfig config, NodeLog log) {
+  public UpstreamPool(
+      AttemptListener listener,
+      EventLoop loop,
+      NodeConfig config,
+      NodeLog log,
+      DecodingScheduler decodingScheduler) {
     this.listener = listener;
     this.loop = loop;
-    connector = new Connector(loop, config, log);
+    connector = new Connector(loop, config, log, decodingScheduler);
     // Well before the endpoint closes the connection: a request that is written while the endpoint
     // closes the connection ends as a reset.
     idleTimeoutNanos = config.keepAliveNanos() / 2;
--- a/src/test/java/merlinrouter/node/DecodingTurnTest.java
+++ b/src/test/java/merlinrouter/node/DecodingTurnTest.java
@@ -26,6 +26,11 @@
   /** All are received in one read. */
   private static final int PIPELINED_REQUESTS = 20;
 
+  private static final String RESPONSE_IN_CHUNKS_OF_ONE_BYTE =
+      ScriptedServer.CHUNKED_RESPONSE_HEAD
+          + ScriptedServer.chunk("x").repeat(2 * CHUNKS)
+          + "0\r\n\r\n";
+
   private static final int MAX_BODY_BYTES = 64 * 1024;
 
   private static String requestInChunksOfOneByte(String requestId, int chunks) {
@@ -140,6 +145,25 @@
     }
   }
 
+  /** Guards against an event loop that decodes all that endpoints have sent before timers. */
+  @Test
+  void timersRunBeforeAllSmallChunksOfResponsesAreDecoded() throws Exception {
+    ScriptedServer server = startServer(request -> {});
+    EdgeNode node = startNode(server);
+    Socket client = connect(node);
+    writeKeyedRequest(client, "t-1");
+    ScriptedServer.Message attempt = server.awaitRequest();
+    CompletableFuture<Integer> openRequests = new CompletableFuture<>();
+    runOnEventLoop(
+        node,
+        () -> {
+          attempt.respond(RESPONSE_IN_CHUNKS_OF_ONE_BYTE);
+          runAfterTurns(node, 1, () -> openRequests.complete(node.openRequestCount()));
+        });
+    assertEquals(1, openRequests.get(), "requests open after one turn");
+    readStatus(client);
+  }
+
   /** Guards against a limit on decoding that refuses a body of the maximum size. */
   @Test
   void largestBodyInChunksOfOneByteIsServed() throws Exception {
