Leave the last quarter of the memory budget to requests that are received

Cause: pipelined bytes below 8 KiB a connection could use the reserve for small requests, up to the whole budget; reading was turned on with each response, before the bytes at hand were decoded; and the budget was checked for requests whose bytes only waited for their turn. Evidence: the body of the 503, "no room for this request", and none left once reading waits for the decoding.

Change: bytes behind an open request pause at three quarters of the budget, whatever their size; reading resumes once the bytes at hand are decoded; the budget is checked only for a request that needs further bytes. A small request has 6 KiB: 341 of them, one for each connection of a third of 1,024 descriptors, fit the reserve.

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -124,20 +124,25 @@
       state.startReceiving();
     }
     updateBudget();
-    boolean readsAhead = mayReadAhead();
-    if (readsAhead && state.isReceiving() && !state.isClosing()) {
+    if (needsMoreBytes() && !state.isClosing()) {
       try {
         assembler.checkBudget();
       } catch (InvalidRequestException e) {
         rejectAndClose(e);
       }
     }
+    boolean readsAhead = mayReadAhead();
     // A connection that is closing is not read again once reading is paused.
     if (!readsAhead || !state.isClosing()) {
       reading.update(readsAhead);
     }
   }
 
+  /** Returns whether a request is incomplete though all received bytes of it are decoded. */
+  private boolean needsMoreBytes() {
+    return state.isReceiving() && !decoder.isPaused() && !decodingShare.isExhausted();
+  }
+
   /** Returns whether there is room for further bytes behind the request that was received last. */
   private boolean mayReadAhead() {
     return !decoder.isPaused() || !assembler.hasTooManyPipelinedBytes(decoder.undecodedBytes());
@@ -341,8 +346,10 @@
     if (!mayDecode || !channel.isActive() || !channel.isWritable()) {
       return;
     }
-    channel.config().setAutoRead(true);
     decoder.resume();
+    if (decoder.undecodedBytes() == 0) {
+      channel.config().setAutoRead(true);
+    }
   }
 
   @Override
--- a/src/main/java/merlinrouter/node/downstream/MemoryBudget.java
+++ b/src/main/java/merlinrouter/node/downstream/MemoryBudget.java
@@ -6,9 +6,10 @@
  */
 public final class MemoryBudget {
   /**
-   * Requests up to this size, header lines included, may also use the last quarter of the budget.
+   * Requests up to this size, header lines included, may also use the last quarter of the budget. A
+   * third of 1,024 connections fit it with one such request each.
    */
-  private static final int SMALL_REQUEST_BYTES = 8 * 1024;
+  private static final int SMALL_REQUEST_BYTES = 6 * 1024;
 
   private static final int RESERVED_DIVISOR = 4;
 
@@ -35,11 +36,15 @@
    * @param requestBytes bytes that the request holds, or will hold
    */
   public boolean allows(long requestBytes) {
-    long limit =
-        requestBytes > SMALL_REQUEST_BYTES
-            ? maxBytes / RESERVED_DIVISOR * (RESERVED_DIVISOR - 1)
-            : maxBytes;
-    return usedBytes < limit;
+    return requestBytes > SMALL_REQUEST_BYTES ? allowsReadingAhead() : usedBytes < maxBytes;
+  }
+
+  /**
+   * Returns whether more bytes may be read behind a request that is open. They never use the last
+   * quarter of the budget, since they can wait unread.
+   */
+  public boolean allowsReadingAhead() {
+    return usedBytes < maxBytes / RESERVED_DIVISOR * (RESERVED_DIVISOR - 1);
   }
 
   /** Records that bytes are now held or, if negative, released. */
--- a/src/main/java/merlinrouter/node/downstream/RequestAssembler.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestAssembler.java
@@ -106,7 +106,7 @@
    */
   boolean hasTooManyPipelinedBytes(int undecodedBytes) {
     return undecodedBytes > 0
-        && (undecodedBytes > MAX_PIPELINED_BYTES || !budget.allows(undecodedBytes));
+        && (undecodedBytes > MAX_PIPELINED_BYTES || !budget.allowsReadingAhead());
   }
 
   private static InvalidRequestException bodyTooLarge() {
--- a/src/test/java/merlinrouter/node/downstream/MemoryBudgetTest.java
+++ b/src/test/java/merlinrouter/node/downstream/MemoryBudgetTest.java
@@ -20,4 +20,14 @@
     budget.change(-1_100_000);
     assertEquals(0, budget.usedBytes());
   }
+
+  /** Otherwise clients that pipeline could leave no room for the requests of others. */
+  @Test
+  void pipelinedBytesLeaveTheLastQuarterToOtherRequests() {
+    MemoryBudget budget = new MemoryBudget(16 << 20);
+    assertTrue(budget.allowsReadingAhead());
+    budget.change(800_000);
+    assertFalse(budget.allowsReadingAhead());
+    assertTrue(budget.allows(200));
+  }
 }
