Let waiting connections continue although one of them fails

A continuation that throws would have ended the round, and the others would have waited until another connection enqueued itself. Found by reading; the next round is scheduled in any case now. DecodingSchedulerTest.connectionsContinueAfterOneThatFails.

--- a/src/main/java/merlinrouter/node/http/DecodingScheduler.java
+++ b/src/main/java/merlinrouter/node/http/DecodingScheduler.java
@@ -82,11 +82,15 @@
     continuationScheduled = false;
     turn();
     stepsInTurn = 0;
-    while (!waiting.isEmpty() && !isTurnExhausted()) {
-      waiting.remove().continueDecoding();
-    }
-    if (!waiting.isEmpty()) {
-      scheduleContinuation();
+    try {
+      while (!waiting.isEmpty() && !isTurnExhausted()) {
+        waiting.remove().continueDecoding();
+      }
+    } finally {
+      // Also if a continuation fails: the others must not wait for another connection to enqueue.
+      if (!waiting.isEmpty()) {
+        scheduleContinuation();
+      }
     }
   }
 }
--- a/src/test/java/merlinrouter/node/http/DecodingSchedulerTest.java
+++ b/src/test/java/merlinrouter/node/http/DecodingSchedulerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayDeque;
@@ -105,4 +106,19 @@
     runNextTurn();
     assertEquals(List.of("a"), continued);
   }
+
+  /** Otherwise the fault of one connection would stop all others that wait. */
+  @Test
+  void connectionsContinueAfterOneThatFails() {
+    DecodingShare failing =
+        scheduler.newShare(
+            () -> {
+              throw new IllegalStateException("a fault of one connection");
+            });
+    failing.awaitTurn();
+    newShare("b").awaitTurn();
+    assertThrows(IllegalStateException.class, this::runNextTurn);
+    runNextTurn();
+    assertEquals(List.of("b"), continued);
+  }
 }
