--- a/src/test/java/merlinrouter/node/ClientMemoryTest.java
+++ b/src/test/java/merlinrouter/node/ClientMemoryTest.java
@@ -1,6 +1,7 @@
 package merlinrouter.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -9,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -22,6 +24,12 @@
   /** Just below the maximum size of a head, which is 8,192 bytes. */
   private static final int HEADER_BYTES = 8_100;
 
+  /** With 50 KB each they send about twice as much as the smallest budget allows. */
+  private static final int PIPELINING_CLIENTS = 40;
+
+  private static final int PIPELINED_REQUESTS = 100;
+  private static final int PAD_BYTES = 480;
+
   private static String shortHeaderLines() {
     String line = "a: 1\r\n";
     return line.repeat(HEADER_BYTES / line.length());
@@ -53,6 +61,34 @@
     assertEquals(0, process.terminate());
   }
 
+  /** Guards against a limit on memory that refuses requests which could have waited unread. */
+  @Test
+  void pipelinedBurstsBeyondTheMemoryBudgetGetAllResponses() throws Exception {
+    EdgeNode node =
+        startNode(configJson().replace("\"sockets\"", "\"memory_mb\": 16, \"sockets\""));
+    String request = "GET /_health HTTP/1.1\r\nX-Pad: " + "x".repeat(PAD_BYTES) + "\r\n\r\n";
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < PIPELINING_CLIENTS; i++) {
+      clients.add(connect(node));
+    }
+    // The node reads nothing before all clients have written everything.
+    node.loop()
+        .submit(
+            () -> {
+              for (Socket client : clients) {
+                writeText(client, request.repeat(PIPELINED_REQUESTS));
+              }
+              return null;
+            })
+        .get();
+    for (Socket client : clients) {
+      for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+        ScriptedServer.Message response = ScriptedServer.readMessage(client);
+        assertNull(response.headers().get("connection"), response.startLine());
+      }
+    }
+  }
+
   private List<Socket> connectAndWrite(InetSocketAddress node, String text) throws IOException {
     List<Socket> clients = new ArrayList<>();
     for (int i = 0; i < CLIENTS; i++) {
