--- /dev/null
+++ b/review/standins-2/src/review2/PipelinedCrowd.java
@@ -0,0 +1,97 @@
+package review2;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** Clients send several requests at once, while others ask once and keep their connections. */
+final class PipelinedCrowd {
+  private static final int SOCKETS = 256;
+  private static final int CLIENTS = 6;
+  private static final int BURST = 8;
+
+  /** Clients that ask once; each keeps its connection until the node closes it, after 2 s. */
+  private static final int KEEPERS = 70;
+
+  private static final double SECONDS = 15;
+
+  private PipelinedCrowd() {}
+
+  public static void main(String[] args) {
+    Kit.main(args, PipelinedCrowd::run);
+  }
+
+  private static boolean run(Kit kit) throws Exception {
+    Agent agent = new Agent(kit);
+    CounterServer counter = new CounterServer();
+    List<MatchServer> servers = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      servers.add(new MatchServer(kit, "s-" + i, 50));
+    }
+    agent.publishAll(servers, "Ready");
+    Kit.Node node = kit.startNodes(2, SOCKETS, agent, counter).get(0);
+    Queue<PipelineClient.Burst> bursts = new ConcurrentLinkedQueue<>();
+    double stopAt = kit.millis() + SECONDS * 1_000;
+    List<Thread> clients = new ArrayList<>();
+    if (kit.trouble) {
+      for (int i = 0; i < KEEPERS; i++) {
+        int delayMillis = i * 2_000 / KEEPERS;
+        clients.add(Kit.daemon(() -> askOnceAndKeep(kit, node.port, delayMillis, stopAt)));
+      }
+      Kit.sleep(3_000);
+    }
+    for (int i = 0; i < CLIENTS; i++) {
+      clients.add(Kit.daemon(() -> send(kit, node.port, stopAt, bursts)));
+    }
+    for (Thread client : clients) {
+      client.join();
+    }
+    node.recordLog();
+    Kit.require(node.isAlive(), "the node has ended");
+    return judge(kit, bursts);
+  }
+
+  private static void askOnceAndKeep(Kit kit, int port, int delayMillis, double stopAt) {
+    Kit.sleep(delayMillis);
+    while (kit.millis() < stopAt) {
+      try (Client client = new Client(port)) {
+        client.write(Client.lookup(kit.newId(), "", 1_500, kit.random.nextInt(1 << 30)));
+        client.read(3_000);
+        // Waits until the node closes the connection; nothing more is sent on it.
+        client.read(5_000);
+      } catch (IOException e) {
+        Kit.sleep(20);
+      }
+    }
+  }
+
+  private static void send(
+      Kit kit, int port, double stopAt, Queue<PipelineClient.Burst> bursts) {
+    while (kit.millis() < stopAt) {
+      try {
+        bursts.add(PipelineClient.burst(kit, port, BURST));
+      } catch (IOException e) {
+        kit.log("client: cannot connect or write: " + e);
+      }
+      Kit.sleep(kit.random.nextInt(40));
+    }
+  }
+
+  private static boolean judge(Kit kit, Queue<PipelineClient.Burst> bursts) {
+    int requests = 0;
+    int lost = 0;
+    int foreign = 0;
+    for (PipelineClient.Burst burst : bursts) {
+      requests += burst.ids().size();
+      foreign += burst.foreign();
+      lost += "orderly".equals(burst.end()) ? burst.ids().size() - burst.answers() : 0;
+    }
+    kit.log("COUNT requests sent: " + requests);
+    kit.log("COUNT of these lost, by an orderly end without an answer: " + lost);
+    kit.log("COUNT foreign answers: " + foreign);
+    Kit.require(requests >= 100, "too few requests were sent");
+    return lost + foreign == 0;
+  }
+}
