--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$folder/../.." && pwd) || exit 2
 [ -d "$root/review/standins-2/target" ] && [ -f "$root/target/merlinrouter.jar" ] || { echo "not built" >&2; exit 2; }
-exec java -XX:+UseSerialGC -Xmx512m -cp "$root/review/standins-2/target" review2.DrainedAfterRestart "$root" "$folder"
+exec java -XX:+UseSerialGC -Xmx512m -cp "$root/review/standins-2/target" review2.AlteredQuery "$root" "$folder"
