--- a/review/standins-2/src/review2/PipelinedCrowd.java
+++ b/review/standins-2/src/review2/PipelinedCrowd.java
@@ -15,6 +15,9 @@
   /** Clients that ask once; each keeps its connection until the node closes it, after 2 s. */
   private static final int KEEPERS = 70;
 
+  /** A client's burst begins this long after its last one: 96 requests a second in all. */
+  private static final long PERIOD_MILLIS = 500;
+
   private static final double SECONDS = 15;
 
   private PipelinedCrowd() {}
@@ -69,13 +72,15 @@
 
   private static void send(
       Kit kit, int port, double stopAt, Queue<PipelineClient.Burst> bursts) {
+    Kit.sleep(kit.random.nextInt((int) PERIOD_MILLIS));
     while (kit.millis() < stopAt) {
+      double nextAt = kit.millis() + PERIOD_MILLIS;
       try {
         bursts.add(PipelineClient.burst(kit, port, BURST));
       } catch (IOException e) {
         kit.log("client: cannot connect or write: " + e);
       }
-      Kit.sleep(kit.random.nextInt(40));
+      Kit.sleep(Math.max(0, Math.round(nextAt - kit.millis())));
     }
   }
 
--- a/review/standins-2/src/review2/PipelinedRestart.java
+++ b/review/standins-2/src/review2/PipelinedRestart.java
@@ -11,6 +11,9 @@
   private static final int CLIENTS = 12;
   private static final int BURST = 8;
 
+  /** A client's burst begins this long after its last one: 137 requests a second in all. */
+  private static final long PERIOD_MILLIS = 700;
+
   private PipelinedRestart() {}
 
   public static void main(String[] args) {
@@ -55,11 +58,12 @@
   private static void send(
       Kit kit, int port, double stopAt, Queue<PipelineClient.Burst> bursts) {
     // The clients are out of step, so that most have a burst open at any moment.
-    Kit.sleep(kit.random.nextInt(500));
+    Kit.sleep(kit.random.nextInt((int) PERIOD_MILLIS));
     try {
       while (kit.millis() < stopAt) {
+        double nextAt = kit.millis() + PERIOD_MILLIS;
         bursts.add(PipelineClient.burst(kit, port, BURST));
-        Kit.sleep(kit.random.nextInt(40));
+        Kit.sleep(Math.max(0, Math.round(nextAt - kit.millis())));
       }
     } catch (IOException e) {
       kit.log("client: cannot connect or write: " + e);
