--- a/review/standins-2/src/review2/AlteredQuery.java
+++ b/review/standins-2/src/review2/AlteredQuery.java
@@ -44,16 +44,14 @@
     for (int i = 0; i < REQUESTS; i++) {
       String id = kit.newId();
       try (Client client = new Client(node.port)) {
-        client.write(Client.lookup(id, query, 1_500, kit.random.nextInt(1 << 30)));
-        Http.Message answer = client.read(3_000);
-        kit.log("client: " + id + " answered " + (answer == null ? null : answer.firstLine()));
+        Http.Message answer = client.ask(kit, id, query);
         served += answer != null && answer.status() == 200 ? 1 : 0;
         rejected += answer != null && answer.status() >= 400 && answer.status() < 500 ? 1 : 0;
       }
       for (MatchServer.Arrival arrival : MatchServer.arrivalsOf(servers, id)) {
         if (!arrival.firstLine().equals(firstLine)) {
           altered++;
-          kit.log("sent " + hex(firstLine) + ", arrived " + hex(arrival.firstLine()));
+          kit.log("altered: " + id + " arrived as " + Kit.visible(arrival.firstLine()));
         }
       }
     }
@@ -63,12 +61,4 @@
     Kit.require(node.isAlive() && served + rejected > 0, "no request was answered");
     return altered == 0;
   }
-
-  private static String hex(String text) {
-    StringBuilder bytes = new StringBuilder();
-    for (byte each : Agent.ascii(text)) {
-      bytes.append(each >= 32 && each < 127 ? String.valueOf((char) each) : String.format("<%02X>", each));
-    }
-    return bytes.toString();
-  }
 }
--- a/review/standins-2/src/review2/Client.java
+++ b/review/standins-2/src/review2/Client.java
@@ -9,6 +9,9 @@
 
 /** A client's connection to an edge node. */
 final class Client implements AutoCloseable {
+  /** How long a client waits: the whole deadline of the class. */
+  static final int TIMEOUT_MILLIS = 1_500;
+
   private final Socket socket = new Socket();
   private final InputStream in;
 
@@ -28,6 +31,32 @@
     return Http.read(in);
   }
 
+  /** Sends a request of the class match-lookup, and reads and records its answer. */
+  Http.Message ask(Kit kit, String id, String query) throws IOException {
+    kit.log("client: sends " + id + " GET /api" + Kit.visible(query));
+    try {
+      write(lookup(id, query, TIMEOUT_MILLIS, kit.random.nextInt(1 << 30)));
+      Http.Message answer = read(2 * TIMEOUT_MILLIS);
+      kit.log("client: " + id + " " + describe(answer));
+      return answer;
+    } catch (IOException e) {
+      kit.log("client: " + id + " got no answer: " + e);
+      throw e;
+    }
+  }
+
+  private static String describe(Http.Message answer) {
+    if (answer == null) {
+      return "got no answer: the connection ended in an orderly way";
+    }
+    String connection = answer.header("connection");
+    return "answered "
+        + answer.status()
+        + (connection.isEmpty() ? "" : ", Connection: " + connection)
+        + " "
+        + Kit.visible(answer.text());
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
--- a/review/standins-2/src/review2/Kit.java
+++ b/review/standins-2/src/review2/Kit.java
@@ -144,6 +144,16 @@
     }
   }
 
+  /** Returns a text with all but visible ASCII characters and spaces as hex numbers. */
+  static String visible(String text) {
+    StringBuilder bytes = new StringBuilder();
+    for (byte each : Agent.ascii(text)) {
+      boolean shown = each >= ' ' && each < 127;
+      bytes.append(shown ? String.valueOf((char) each) : String.format("<%02X>", each));
+    }
+    return bytes.toString();
+  }
+
   /** Returns a fresh id of 16 hex digits. */
   synchronized String newId() {
     return String.format("%016x", random.nextLong());
@@ -218,7 +228,9 @@
     /** Sends a signal to the program that `run` started (it has replaced the shell by exec). */
     void signal(String signal) throws IOException, InterruptedException {
       Kit.this.log("signal " + signal + " to node " + name);
-      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+      // The shell's own command: not every machine has it as a program.
+      String command = "kill -" + signal + " " + process.pid();
+      new ProcessBuilder("/bin/sh", "-c", command).start().waitFor();
     }
 
     void kill() throws InterruptedException {
--- a/review/standins-2/src/review2/ListInPieces.java
+++ b/review/standins-2/src/review2/ListInPieces.java
@@ -75,8 +75,7 @@
   private static void ask(Kit kit, int port, double stopAt, AtomicInteger served) {
     while (kit.millis() < stopAt) {
       try (Client client = new Client(port)) {
-        client.write(Client.lookup(kit.newId(), "", 1_500, kit.random.nextInt(1 << 30)));
-        Http.Message answer = client.read(3_000);
+        Http.Message answer = client.ask(kit, kit.newId(), "");
         served.addAndGet(answer != null && answer.status() == 200 ? 1 : 0);
         Kit.sleep(60);
       } catch (IOException e) {
--- a/review/standins-2/src/review2/MatchServer.java
+++ b/review/standins-2/src/review2/MatchServer.java
@@ -67,7 +67,7 @@
       while (request != null) {
         String requestId = request.header("x-trace-id");
         arrivals.add(new Arrival(kit.millis(), id, requestId, request.firstLine()));
-        kit.log("run: " + id + " got " + requestId + " " + request.firstLine());
+        kit.log("run: " + id + " got " + requestId + " " + Kit.visible(request.firstLine()));
         Kit.sleep(workMillis);
         answer.write(socket.getOutputStream(), request, bodyFor(requestId, request.firstLine()));
         request = Http.read(in);
--- a/review/standins-2/src/review2/PipelineClient.java
+++ b/review/standins-2/src/review2/PipelineClient.java
@@ -18,8 +18,6 @@
    */
   record Burst(double writtenMillis, List<String> ids, int answers, String end, int foreign) {}
 
-  private static final int TIMEOUT_MILLIS = 1_500;
-
   private PipelineClient() {}
 
   /** Sends one burst on a new connection and reads all answers, or up to the connection's end. */
@@ -29,7 +27,7 @@
     for (int i = 0; i < size; i++) {
       String id = kit.newId();
       ids.add(id);
-      text.append(Client.lookup(id, "", TIMEOUT_MILLIS, kit.random.nextInt(1 << 30)));
+      text.append(Client.lookup(id, "", Client.TIMEOUT_MILLIS, kit.random.nextInt(1 << 30)));
     }
     int answers = 0;
     int foreign = 0;
@@ -42,7 +40,7 @@
       while (answers < size && end == null) {
         Http.Message answer;
         try {
-          answer = client.read(TIMEOUT_MILLIS + 1_500);
+          answer = client.read(2 * Client.TIMEOUT_MILLIS);
         } catch (IOException e) {
           end = e.toString();
           break;
--- a/review/standins-2/src/review2/PipelinedCrowd.java
+++ b/review/standins-2/src/review2/PipelinedCrowd.java
@@ -12,11 +12,16 @@
   private static final int CLIENTS = 6;
   private static final int BURST = 8;
 
-  /** Clients that ask once; each keeps its connection until the node closes it, after 2 s. */
+  /**
+   * Clients that ask once; each keeps its connection until the node closes it. Another customer
+   * comes in its place then, at the earliest a second after it came: 70 requests a second at most.
+   */
   private static final int KEEPERS = 70;
 
-  /** A client's burst begins this long after its last one: 96 requests a second in all. */
-  private static final long PERIOD_MILLIS = 500;
+  private static final long KEEPER_PERIOD_MILLIS = 1_000;
+
+  /** A client's burst begins this long after its last one: 48 requests a second in all. */
+  private static final long PERIOD_MILLIS = 1_000;
 
   private static final double SECONDS = 15;
 
@@ -40,7 +45,7 @@
     List<Thread> clients = new ArrayList<>();
     if (kit.trouble) {
       for (int i = 0; i < KEEPERS; i++) {
-        int delayMillis = i * 2_000 / KEEPERS;
+        int delayMillis = (int) (i * KEEPER_PERIOD_MILLIS / KEEPERS);
         clients.add(Kit.daemon(() -> askOnceAndKeep(kit, node.port, delayMillis, stopAt)));
       }
       Kit.sleep(3_000);
@@ -59,14 +64,15 @@
   private static void askOnceAndKeep(Kit kit, int port, int delayMillis, double stopAt) {
     Kit.sleep(delayMillis);
     while (kit.millis() < stopAt) {
+      double nextAt = kit.millis() + KEEPER_PERIOD_MILLIS;
       try (Client client = new Client(port)) {
-        client.write(Client.lookup(kit.newId(), "", 1_500, kit.random.nextInt(1 << 30)));
-        client.read(3_000);
+        client.ask(kit, kit.newId(), "");
         // Waits until the node closes the connection; nothing more is sent on it.
         client.read(5_000);
       } catch (IOException e) {
-        Kit.sleep(20);
+        // The connection was reset, or closed before the request was read.
       }
+      Kit.sleep(Math.max(0, Math.round(nextAt - kit.millis())));
     }
   }
 
--- a/review/standins-2/src/review2/ShortLength.java
+++ b/review/standins-2/src/review2/ShortLength.java
@@ -73,19 +73,15 @@
     while (kit.millis() < stopAt) {
       try (Client client = new Client(port)) {
         String id = kit.newId();
-        client.write(Client.lookup(id, "", 1_500, kit.random.nextInt(1 << 30)));
-        Http.Message answer = client.read(3_000);
+        Http.Message answer = client.ask(kit, id, "");
         answers.incrementAndGet();
-        if (answer == null) {
-          kit.log("client: " + id + " got no answer");
-        } else {
-          kit.log("client: " + id + " answered " + answer.status() + " " + answer.text());
+        if (answer != null) {
           boolean own = answer.text().equals(MatchServer.bodyFor(id, "GET /api HTTP/1.1"));
           served.addAndGet(answer.status() == 200 ? 1 : 0);
           wrong.addAndGet(answer.status() == 200 && !own ? 1 : 0);
         }
       } catch (IOException e) {
-        kit.log("client: " + e);
+        Kit.sleep(20);
       }
     }
   }
