Forward the bytes of a query unchanged

Cause: Netty's decoder reads each byte of a request line as one character from 0 to 255, and HttpRequestEncoder writes the request target as UTF-8, two bytes for each of these.

Change: EndpointRequestEncoder writes the target in the charset in which it was read. The scripted server of the tests reads heads byte by byte now.

--- a/src/main/java/merlinrouter/node/upstream/Connector.java
+++ b/src/main/java/merlinrouter/node/upstream/Connector.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.concurrent.TimeUnit;
 import merlinrouter.model.Outcome;
 import merlinrouter.node.config.NodeConfig;
@@ -59,7 +58,7 @@
                         .pipeline()
                         .addLast(
                             decoder,
-                            new HttpRequestEncoder(),
+                            new EndpointRequestEncoder(),
                             new UpstreamConnection(decoder, loop, log, maxChargedUnits));
                   }
                 });
--- a/src/test/java/merlinrouter/node/EdgeNodeTest.java
+++ b/src/test/java/merlinrouter/node/EdgeNodeTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +24,9 @@
   /** Of 6 bytes each; the head is just below its maximum size. */
   private static final int HEAD_LINES = 1_300;
 
+  private static final char FIRST_VISIBLE_CHARACTER = '!';
+  private static final char LAST_BYTE = 255;
+
   @Test
   void forwardsRequestsAndResponsesOverOneConnection() throws Exception {
     ScriptedServer server =
@@ -45,6 +49,24 @@
     assertTrue(server.endedConnections.isEmpty(), "the second request must reuse the connection");
   }
 
+  /**
+   * Guards against a query that reaches an endpoint as another one: bytes above 127, as in a UTF-8
+   * text that is not percent-encoded, were each forwarded as two bytes.
+   */
+  @Test
+  void queryIsForwardedByteForByte() throws Exception {
+    StringBuilder query = new StringBuilder("/api?");
+    for (char each = FIRST_VISIBLE_CHARACTER; each <= LAST_BYTE; each++) {
+      query.append(each);
+    }
+    ScriptedServer server = startOkServer("x");
+    Socket client = connect(startNode(server));
+    String head = requestHead("GET " + query, requestHeaders("t-1", "lookup", "20000"));
+    client.getOutputStream().write((head + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+    assertEquals("200", readStatus(client));
+    assertEquals("GET " + query + " HTTP/1.1", server.awaitRequest().startLine());
+  }
+
   /** Unlike later requests, the first one waits until its connection is established. */
   @Test
   void theFirstRequestOnANewConnectionIsServed() throws Exception {
--- a/src/test/java/merlinrouter/node/ScriptedServer.java
+++ b/src/test/java/merlinrouter/node/ScriptedServer.java
@@ -46,7 +46,10 @@
         });
   }
 
-  /** A request or a response; the header names are in lower case. */
+  /**
+   * A request or a response; the header names are in lower case. Each byte of the start line and
+   * the headers is one character.
+   */
   public record Message(
       String startLine, Map<String, String> headers, String body, Socket connection) {
     String requestId() {
@@ -158,7 +161,7 @@
       line.write(next);
       next = input.read();
     }
-    return line.toString(StandardCharsets.UTF_8).trim();
+    return line.toString(StandardCharsets.ISO_8859_1).trim();
   }
 
   @Override
