Reject request lines with other white space than spaces

Callers saw: GET /api?ab<09> was forwarded as GET /api?ab and served, a request in a form that no client sent. Found by a trial of every byte at the end of the query and of the path: 9, 11, 12 and 13 were lost, no other.

Cause: Netty's decoder splits a request line at tabs, vertical tabs, form feeds and carriage returns as at spaces, and the node forwards what is left of the target.

Change: RequestDecoder checks the bytes of each request line (RequestLines); one with such a byte before its end gets 400, as other requests that cannot be read.

Evidence: MisbehavingClientTest.requestLineWithOtherWhiteSpaceThanSpacesIsRejected failed before for all four (200 for 400).

--- a/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -33,6 +35,8 @@
   /** Whether a request has been decoded in part; heads are decoded in whole lines only. */
   private boolean partDecoded;
 
+  private boolean requestLineDecoded;
+  private boolean requestLineValid;
   private boolean headDecoded;
   private boolean paused;
   private boolean stopped;
@@ -87,6 +91,7 @@
       decodePart(decodeContext, input, output);
       paused = !output.isEmpty() && output.get(output.size() - 1) instanceof LastHttpContent;
       headDecoded &= !paused;
+      requestLineDecoded &= !paused;
       if (paused) {
         share.addSteps(STEPS_PER_REQUEST);
       }
@@ -97,17 +102,39 @@
 
   private void decodePart(ChannelHandlerContext decodeContext, ByteBuf input, List<Object> output)
       throws Exception {
-    int undecodedBefore = input.readableBytes();
+    int startIndex = input.readerIndex();
     int linesBefore = headers.lines();
     super.decode(decodeContext, input, output);
+    if (!requestLineDecoded) {
+      checkRequestLine(input, startIndex);
+    }
+    if (!output.isEmpty() && output.get(0) instanceof HttpRequest head) {
+      headDecoded = true;
+      failUnlessRequestLineValid(head);
+    }
     // Trailers are header lines as well; all else behind the head belongs to the body.
     if (!headDecoded || headers.lines() > linesBefore) {
-      headers.addBytes(undecodedBefore - input.readableBytes());
+      headers.addBytes(input.readerIndex() - startIndex);
     }
-    headDecoded |= !output.isEmpty() && output.get(0) instanceof HttpRequest;
     share.addSteps(1 + headers.lines() - linesBefore);
   }
 
+  /** Checks the request line if it has just been decoded; lines are decoded as a whole. */
+  private void checkRequestLine(ByteBuf input, int startIndex) {
+    int lineIndex = RequestLines.findStart(input, startIndex);
+    if (lineIndex >= 0) {
+      requestLineDecoded = true;
+      requestLineValid = RequestLines.hasOnlySpaces(input, lineIndex);
+    }
+  }
+
+  private void failUnlessRequestLineValid(HttpRequest head) {
+    if (!requestLineValid && head.decoderResult().isSuccess()) {
+      head.setDecoderResult(
+          DecoderResult.failure(new DecoderException("white space other than spaces")));
+    }
+  }
+
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
     headers.addLine();
--- a/src/test/java/merlinrouter/node/MisbehavingClientTest.java
+++ b/src/test/java/merlinrouter/node/MisbehavingClientTest.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests clients that send invalid, too large or incomplete requests, or nothing. */
 @Timeout(120)
@@ -39,6 +41,22 @@
     }
   }
 
+  /** Guards against a request target that is forwarded without its last byte. */
+  @ParameterizedTest
+  @ValueSource(strings = {"\t", "\u000b", "\f", "\r"})
+  void requestLineWithOtherWhiteSpaceThanSpacesIsRejected(String whiteSpace) throws Exception {
+    ScriptedServer server = startOkServer("x");
+    EdgeNode node = startNode(server);
+    for (String line :
+        List.of("POST /api?slot=4# HTTP/1.1", "POST#/api HTTP/1.1", "POST /api#HTTP/1.1")) {
+      String head = keyedRequestHead("t-1").replaceFirst("POST.*", line.replace("#", whiteSpace));
+      Socket client = connect(node);
+      writeText(client, "\r\n" + head + "\r\n");
+      assertRejected(client, "400", line);
+    }
+    assertTrue(server.received.isEmpty(), "no invalid request may be forwarded");
+  }
+
   /** Guards against request smuggling: bytes behind a rejected request may be a part of it. */
   @Test
   void nothingBehindARejectedRequestIsRead() throws Exception {
