Limit the number of quota accounts, least recently used first

Callers saw: one client that sent small requests on one connection at full speed, each as a new customer, filled the heap (48 MB) within 14 s. Then the collector ran most of the time: a tenth of the requests per second, stalls of 87 to 103 ms.

Cause: QuotaManager opens an account of some 350 bytes for each customer, also for requests that are rejected at once, and keeps it for 32 to 90 s after its last use; nothing limited their number (96,365 in a class histogram).

Change: at 32,768 accounts the least recently used idle one is dropped for a new one. A customer that goes on sending keeps its account and stays limited.

Evidence: RetentionTest.accountsAreLimitedHoweverManyCustomersCome failed before (40,001 tracked for 32,770).

--- a/src/main/java/merlinrouter/quota/QuotaAccount.java
+++ b/src/main/java/merlinrouter/quota/QuotaAccount.java
@@ -320,13 +320,18 @@
     }
   }
 
+  /** Returns whether the customer has neither an open request nor a call to the counter. */
+  boolean isIdle() {
+    return openRequests + callsInFlight == 0;
+  }
+
   /**
    * Returns whether a new account would hold the same information. Such accounts are dropped,
    * because many customers send requests only once.
    */
   boolean isDisposable() {
     long idleNanos = clock.nanosSince(Math.max(lastUsedAtNanos, estimate.totalAtNanos()));
-    if (openRequests + callsInFlight > 0
+    if (!isIdle()
         || idleNanos < 2 * estimate.windowNanos() + RETENTION_NANOS
         || context.accountsToReport().contains(this)) {
       return false;
--- a/src/main/java/merlinrouter/quota/QuotaManager.java
+++ b/src/main/java/merlinrouter/quota/QuotaManager.java
@@ -1,6 +1,7 @@
 package merlinrouter.quota;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -19,7 +20,19 @@
  * to an {@link AdmissionListener}. Not thread-safe.
  */
 public final class QuotaManager {
-  private final Map<Long, QuotaAccount> accounts = new LinkedHashMap<>();
+  /**
+   * The most accounts that are kept, some 350 bytes each, while more customers send requests than
+   * are dropped as {@linkplain QuotaAccount#isDisposable disposable}.
+   */
+  private static final int MAX_ACCOUNTS = 32_768;
+
+  private static final int INITIAL_CAPACITY = 16;
+  private static final float LOAD_FACTOR = 0.75f;
+
+  /** The accounts by customer, the least recently used one first. */
+  private final Map<Long, QuotaAccount> accounts =
+      new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true);
+
   private final Set<QuotaAccount> accountsToReport = new LinkedHashSet<>();
   private final List<PlanUsage> usageByPlan = new ArrayList<>();
   private final CounterCalls calls;
@@ -59,6 +72,7 @@
       ClientRequest request, RequestClass requestClass, long objectiveAtNanos) {
     QuotaAccount account = accounts.get(request.customer());
     if (account == null) {
+      dropLeastRecentlyUsedIfFull();
       account = new QuotaAccount(context, request, usageByPlan.get(request.planIndex()));
       accounts.put(request.customer(), account);
     }
@@ -66,6 +80,26 @@
     return new QuotaReservation(account, request, requestClass, objectiveAtNanos);
   }
 
+  /**
+   * Drops the account that has been idle longest if the maximum number is reached, so that one
+   * client with ever new customers cannot exhaust the memory. A customer that comes back later is
+   * counted anew.
+   */
+  private void dropLeastRecentlyUsedIfFull() {
+    if (accounts.size() < MAX_ACCOUNTS) {
+      return;
+    }
+    Iterator<QuotaAccount> leastRecentFirst = accounts.values().iterator();
+    while (leastRecentFirst.hasNext()) {
+      QuotaAccount account = leastRecentFirst.next();
+      if (account.isIdle()) {
+        leastRecentFirst.remove();
+        accountsToReport.remove(account);
+        return;
+      }
+    }
+  }
+
   /** Decides on a request or calls the counter first; notifies the listener in either case. */
   public void admit(QuotaReservation reservation) {
     reservation.account().admit(reservation);
--- a/src/test/java/merlinrouter/gateway/RetentionTest.java
+++ b/src/test/java/merlinrouter/gateway/RetentionTest.java
@@ -15,6 +15,11 @@
 
 /** Customers and endpoints change continually, so state no longer needed must be dropped. */
 class RetentionTest {
+  /** The maximum number of accounts of customers. */
+  private static final int MAX_ACCOUNTS = 32_768;
+
+  private static final long FLOOD_CUSTOMERS = 40_000;
+
   @Test
   void aCustomerIsDroppedWhenItsQuotaHasRefilledAndNotBefore() {
     QuotaPlan plan = new QuotaPlan(1, 4, 0, 1, 0, 1, 2, 8, 4);
@@ -56,6 +61,27 @@
     }
   }
 
+  /**
+   * Guards against a client that comes as ever new customers: within the time for which an account
+   * is kept their accounts filled the heap. A customer that goes on sending keeps its account.
+   */
+  @Test
+  void accountsAreLimitedHoweverManyCustomersCome() {
+    SimulatedHost host =
+        SimulatedHost.withoutCounter(new QuotaPlan(1, 4, 0, 1, 0, 1, 2, 8, 4), 1).withEndpoints(2);
+    host.advance(10 * PER_SECOND);
+    host.endAttempt(requestUnits(host, 2, 4), Outcome.OK);
+    for (long customer = 3; customer < FLOOD_CUSTOMERS; customer++) {
+      host.endAttempt(requestUnits(host, customer, 1), Outcome.OK);
+      host.attempts.clear();
+      if (customer % 1000 == 0) {
+        assertTrue(
+            host.rejected.contains(requestUnits(host, 2, 4)), "customer 2 is over its quota");
+      }
+    }
+    assertEquals(MAX_ACCOUNTS + 2, host.gateway.trackedCustomerAndEndpointCount());
+  }
+
   private static String requestUnits(SimulatedHost host, long customer, double units) {
     return host.request(IDEMPOTENT, 0, customer, units, host.nowNanos + 3 * PER_SECOND);
   }
