Refuse a replayed request that may have been executed

Cause: the host knew the ids of open requests only.

Ids are fresh for every request by the protocol, also for a client's retry, so no usual client is refused.

Evidence: ClientRaceTest.requestThatMayHaveBeenExecutedIsNotSentWhenItsIdComesAgain failed before (sent again).

--- a/src/main/java/merlinrouter/node/GatewayHost.java
+++ b/src/main/java/merlinrouter/node/GatewayHost.java
@@ -23,6 +23,7 @@
 import merlinrouter.node.monitoring.ResponseTimes;
 import merlinrouter.node.request.InvariantGuard;
 import merlinrouter.node.request.OpenRequest;
+import merlinrouter.node.request.ReplayCache;
 import merlinrouter.node.request.RequestTimeline;
 import merlinrouter.node.request.ResponseSink;
 import merlinrouter.node.upstream.AttemptListener;
@@ -56,6 +57,7 @@
   private final CounterClient counterClient;
   private final ClientDeadlines clientDeadlines = new ClientDeadlines();
   private final Map<String, OpenRequest> openRequests = new HashMap<>();
+  private final ReplayCache replayCache = new ReplayCache();
   private Gateway gateway;
 
   GatewayHost(
@@ -104,10 +106,11 @@
   /**
    * Accepts a request and passes it to the gateway.
    *
-   * @return false, with nothing done, if a request with the same id is open
+   * @return false, with nothing done, if a request with the same id is open, or has ended and must
+   *     not be executed again
    */
   boolean accept(OpenRequest request) {
-    if (openRequests.putIfAbsent(request.id(), request) != null) {
+    if (replayCache.forbids(request) || openRequests.putIfAbsent(request.id(), request) != null) {
       return false;
     }
     long overdueAtNanos = request.clientRequest().deadlineNanos() + OVERDUE_NANOS;
@@ -216,6 +219,7 @@
     if (request.isResponded()
         && !request.isAttemptInFlight()
         && openRequests.remove(request.id(), request)) {
+      replayCache.recordEnded(request, requestClass(request));
       budget.change(-request.body().readableBytes());
       request.release();
     }
@@ -251,9 +255,11 @@
   }
 
   private boolean mayStartAttempt(OpenRequest request) {
-    RequestClass requestClass =
-        config.settings().requestClasses().get(request.clientRequest().classIndex());
-    return guard.mayStartAttempt(request, requestClass, clock.nowNanos());
+    return guard.mayStartAttempt(request, requestClass(request), clock.nowNanos());
+  }
+
+  private RequestClass requestClass(OpenRequest request) {
+    return config.settings().requestClasses().get(request.clientRequest().classIndex());
   }
 
   /** Reports that an attempt was not started: the gateway counts it as in flight until then. */
--- a/src/main/java/merlinrouter/node/downstream/RequestHandler.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestHandler.java
@@ -13,7 +13,8 @@
   /**
    * Accepts a request and starts to handle it. The response may be written before this returns.
    *
-   * @return false, with nothing done, if another request with the same id is still open
+   * @return false, with nothing done, if another request with the same id is still open, or has
+   *     ended and must not be executed again
    */
   boolean accept(OpenRequest request);
 
--- a/src/main/java/merlinrouter/node/downstream/RequestSubmitter.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestSubmitter.java
@@ -29,7 +29,8 @@
    * @param body the body, which the caller still owns if this throws
    * @param arrivedNanos the earliest time at which the request's first byte may have arrived
    * @param responseSink receives the response
-   * @throws InvalidRequestException if the request is invalid, or one with the same id is open
+   * @throws InvalidRequestException if the request is invalid, or its id is that of another one
+   *     that is open or must not be executed again
    */
   void submit(HttpRequest head, ByteBuf body, long arrivedNanos, ResponseSink responseSink)
       throws InvalidRequestException {
@@ -47,7 +48,7 @@
     if (!handler.accept(request)) {
       state.clearOpenRequest();
       throw new InvalidRequestException(
-          HttpResponseStatus.CONFLICT, "a request of this id is open");
+          HttpResponseStatus.CONFLICT, "a request of this id is open or was handled");
     }
   }
 }
--- a/src/test/java/merlinrouter/node/ClientRaceTest.java
+++ b/src/test/java/merlinrouter/node/ClientRaceTest.java
@@ -125,6 +125,47 @@
     proceed.complete(null);
   }
 
+  /**
+   * Guards against a request that is executed twice: its id comes again on another connection, when
+   * the attempt that its client has left behind has ended.
+   */
+  @Test
+  void requestThatMayHaveBeenExecutedIsNotSentWhenItsIdComesAgain() throws Exception {
+    CompletableFuture<ScriptedServer.Message> firstRequest = new CompletableFuture<>();
+    ScriptedServer server = startServerThatWithholdsFirstResponse(firstRequest);
+    EdgeNode node = startNode(server);
+    Socket client = connect(node);
+    writeRequest(client, "POST /api", requestHeaders("t-1", "strict", "20000"), "book");
+    server.awaitRequest();
+    client.close();
+    awaitAllDisconnected(node);
+    firstRequest.join().respond(ScriptedServer.okResponse("", "x"));
+    awaitOnEventLoop(node, () -> node.openRequestCount() == 0);
+    Socket again = connect(node);
+    writeRequest(again, "POST /api", requestHeaders("t-1", "strict", "20000"), "book");
+    assertEquals("409", readStatus(again));
+    writeKeyedRequest(connect(node), "t-2");
+    assertEquals("t-2", server.awaitRequest().requestId());
+  }
+
+  /** Guards against a refusal of requests that may be executed again, or were not executed. */
+  @Test
+  void requestThatMayBeExecutedIsServedWhenItsIdComesAgain() throws Exception {
+    ScriptedServer server =
+        startServer(
+            request -> {
+              boolean full = request.requestId().equals("t-2");
+              request.respond(full ? NOT_EXECUTED_RESPONSE : ScriptedServer.okResponse("", "x"));
+            });
+    EdgeNode node = startNode(server);
+    for (int i = 0; i < 2; i++) {
+      Socket idempotent = connect(node);
+      writeIdempotentRequest(idempotent, "t-1");
+      assertEquals("200", readStatus(idempotent));
+      assertEquals("429", requestStatus(connect(node), "t-2"));
+    }
+  }
+
   /** The close follows the pipelined requests, so the node must read these to detect it. */
   @Test
   void requestIsNotSentIfClientPipelinesAndDisconnectsDuringCounterCall() throws Exception {
