--- a/src/main/java/merlinrouter/node/upstream/UpstreamPool.java
+++ b/src/main/java/merlinrouter/node/upstream/UpstreamPool.java
@@ -66,9 +66,9 @@
    *
    * @param update the complete list or its changed entries
    * @param removeUnlisted whether endpoints that are not in the update are removed
-   * @return the changes for the gateway: the endpoints of the update, and those whose address now
-   *     belongs to another endpoint; an endpoint is marked as removed if another one started at its
-   *     address later
+   * @return the changes for the gateway: the endpoints of the update, those that it removes, and
+   *     those that share an address with them; an endpoint is marked as removed if its address
+   *     belongs to another one that started there later
    */
   public List<Endpoint> update(EndpointList update, boolean removeUnlisted) {
     return pools.update(update, removeUnlisted);
--- a/src/test/java/merlinrouter/node/EndpointListTest.java
+++ b/src/test/java/merlinrouter/node/EndpointListTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** How a node applies the endpoint lists and updates that discovery sends. */
 @Timeout(120)
@@ -89,6 +91,40 @@
     assertTrue(server.received.isEmpty());
   }
 
+  /**
+   * Guards against requests to an endpoint that drains: its start was missed, or its predecessor at
+   * the address is listed once more, so that its address belonged to the predecessor's id.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"s-1", "s-1 s-0"})
+  void addressOfDrainingEndpointDoesNotBelongToItsPredecessor(String listed) throws Exception {
+    ScriptedServer server = startOkServer("x");
+    long startedMillis = System.currentTimeMillis() - 60_000;
+    String draining = endpointJson("s-1", server.address(), "Terminating", startedMillis);
+    String predecessor = readyEndpointJson("s-0", server.address());
+    String[] entries =
+        listed.equals("s-1") ? new String[] {draining} : new String[] {draining, predecessor};
+    CompletableFuture<Void> proceed = new CompletableFuture<>();
+    discovery =
+        startServer(
+            request -> {
+              request.respond(UNCHANGED_LIST);
+              proceed.join();
+              request.respond(ScriptedServer.chunk(updateJson(8, entries) + "\n"));
+            });
+    EdgeNode node = startNode(server);
+    assertEquals("200", requestStatus(connect(node), "t-1"));
+    server.awaitRequest();
+    proceed.complete(null);
+    assertNotNull(
+        server.endedConnections.poll(60, TimeUnit.SECONDS),
+        "connections to the previous endpoint must be closed");
+    Socket client = connect(node);
+    writeRequest(client, "POST /api", requestHeaders("t-2", "order", "1500"), "");
+    assertEquals("429", readStatus(client));
+    assertTrue(server.received.isEmpty(), "a request was sent to the draining endpoint");
+  }
+
   /** Closing a watch does not stop the decoding of bytes that were already read. */
   @Test
   void errorResponseOfDiscoveryIsNotAnEndpointList() throws Exception {
