Keep a retry in the cell in which the first attempt was started

Callers saw: nothing reported. By a test: a request whose duplicates are dropped in one cell only was retried in another one, where it may run again, when the list moved the endpoint's id to another cell while the first attempt was in flight.

Cause: PendingRequest recorded the endpoint's entry at the end of the attempt; EndpointTracker.update replaces the entry while the endpoint's start time stays the same.

Change: the entry is kept when the attempt starts, and the execution history records that one.

Evidence: RetryTest.aRetryStaysInTheCellInWhichTheFirstAttemptWasStarted failed before (cell 1 for 0).

--- a/src/main/java/merlinrouter/gateway/PendingRequest.java
+++ b/src/main/java/merlinrouter/gateway/PendingRequest.java
@@ -5,6 +5,7 @@
 import merlinrouter.loadbalancing.EndpointTracker;
 import merlinrouter.model.AttemptResult;
 import merlinrouter.model.ClientRequest;
+import merlinrouter.model.Endpoint;
 import merlinrouter.model.Outcome;
 import merlinrouter.queue.ClassQueue;
 import merlinrouter.queue.QueuedRequest;
@@ -28,6 +29,10 @@
   private OptionalLong admittedAtNanos = OptionalLong.empty();
   private int attempts;
   private EndpointTracker endpoint;
+
+  /** The entry of the endpoint list at the start of the latest attempt; it may change meanwhile. */
+  private Endpoint endpointAtAttemptStart;
+
   private long attemptStartedAtNanos;
 
   PendingRequest(
@@ -121,13 +126,14 @@
     transitionTo(RequestState.IN_FLIGHT);
     attempts++;
     endpoint = attemptEndpoint;
+    endpointAtAttemptStart = attemptEndpoint.endpoint();
     attemptStartedAtNanos = nowNanos;
   }
 
   /** Records the end of the attempt in flight. */
   void attemptEnded(Outcome outcome) {
     if (!outcome.provesNotExecuted()) {
-      history.recordPossibleExecution(attemptStartedAtNanos, endpoint.endpoint());
+      history.recordPossibleExecution(attemptStartedAtNanos, endpointAtAttemptStart);
     }
     endpoint = null;
   }
--- a/src/test/java/merlinrouter/gateway/RetryTest.java
+++ b/src/test/java/merlinrouter/gateway/RetryTest.java
@@ -11,6 +11,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import java.util.List;
+import merlinrouter.model.EndpointState;
 import merlinrouter.model.Outcome;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -51,6 +52,23 @@
     assertEquals(first.charAt(0) % 2, second.charAt(0) % 2);
   }
 
+  /**
+   * Guards against an execution in two cells: the list moves the endpoint of the first attempt to
+   * another cell while that attempt is in flight.
+   */
+  @Test
+  void aRetryStaysInTheCellInWhichTheFirstAttemptWasStarted() {
+    host.withEndpoints(4);
+    String id = host.request(KEY_IN_CELL, 1);
+    String first = host.attemptsOf(id).get(0).endpointId();
+    int cell = (first.charAt(0) - 'a') % 2;
+    host.updateEndpoint(first, 1 - cell, EndpointState.READY, 0);
+    host.endAttempt(id, Outcome.RESET, false);
+    String second = host.attemptsOf(id).get(1).endpointId();
+    assertNotEquals(first, second);
+    assertEquals(cell, (second.charAt(0) - 'a') % 2);
+  }
+
   @Test
   void afterItsDeduplicationWindowARequestIsNeitherRetriedNorRejected() {
     host.withEndpoints(4);
