Count the last bytes of a head in its memory estimate again

No test saw it: the part left out is the request line of a request without header lines, or two bytes.

--- a/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestDecoder.java
@@ -108,14 +108,14 @@
     if (!requestLineDecoded) {
       checkRequestLine(input, startIndex);
     }
-    if (!output.isEmpty() && output.get(0) instanceof HttpRequest head) {
-      headDecoded = true;
-      failUnlessRequestLineValid(head);
-    }
     // Trailers are header lines as well; all else behind the head belongs to the body.
     if (!headDecoded || headers.lines() > linesBefore) {
       headers.addBytes(input.readerIndex() - startIndex);
     }
+    if (!output.isEmpty() && output.get(0) instanceof HttpRequest head) {
+      headDecoded = true;
+      failUnlessRequestLineValid(head);
+    }
     share.addSteps(1 + headers.lines() - linesBefore);
   }
 
