Create removed entries of a whole list for unlisted endpoints only

With lists of 3,200 endpoints that are polled each second, two objects were created for each listed one and dropped at once. Behaviour is unchanged.

--- a/src/main/java/merlinrouter/node/upstream/ListedEndpoints.java
+++ b/src/main/java/merlinrouter/node/upstream/ListedEndpoints.java
@@ -65,7 +65,7 @@
     }
     if (removeUnlisted) {
       for (Listing listing : byId.values()) {
-        changes.putIfAbsent(listing.id(), listing.removed());
+        changes.computeIfAbsent(listing.id(), unlisted -> listing.removed());
       }
     }
     for (EndpointEntry entry : changes.values()) {
