Keep a watch open whose list arrives in pieces, and open another one beside it

Seen by callers: discovery wrote each endpoint list in eight pieces within 0.7 s.

Cause: WatchHandler.updateCompletionTimeout closed a watch 0.5 s after the first byte of an incomplete list, although parts of it went on to arrive; each next watch ended in the same way. In the same way DiscoveryClient.openWatch closed a watch that had no response for 2 s.

Change: a watch is kept as long as parts of its list arrive. 0.5 s after the last part another watch is opened beside it, as beside an unanswered one, and the first that delivers a list stays. So a watch that stopped half way is replaced as fast as before, and a slow one is not given up for it. White space is no part of a list. A watch without progress is closed after 3 s, and later ones wait twice as long, up to 24 s, until a list arrives.

--- a/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
+++ b/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
@@ -7,12 +7,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
-import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import merlinrouter.model.EndpointUpdateType;
 import merlinrouter.node.config.EndpointList;
 import merlinrouter.node.config.NodeConfig;
@@ -23,21 +24,23 @@
 /**
  * Watches the endpoint list for changes after the last revision received. By the rules of the
  * service, a node is considered notified of a change some time after discovery published it,
- * whether or not a watch was open. A watch that ends, falls silent or gets no response is therefore
- * replaced early enough for the next one to deliver the change by then. Used on the event loop
- * only.
+ * whether or not a watch was open. A watch that ends, falls silent, gets no response or stops in
+ * the middle of a list is therefore replaced early enough for the next one to deliver the change by
+ * then. The replacement is opened beside a watch whose response or rest of a list may still follow:
+ * the first of them that delivers a list stays open. Used on the event loop only.
  */
 public final class DiscoveryClient {
+  /** Maximum number of watches that are open or being opened. */
+  private static final int MAX_OPEN_WATCHES = 6;
+
   /**
-   * Discovery writes to a watch at least every 2 s. A node is considered notified of the changes
-   * that a silent watch missed 6 s after the silence began.
+   * At the maximum, the oldest watches stay open, in case that discovery needs long. The others are
+   * replaced one after another, in case that it does not respond on connections of before.
    */
-  private static final int READ_TIMEOUT_SECONDS = 3;
-
-  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int MAX_RETAINED_WATCHES = MAX_OPEN_WATCHES / 2;
 
-  /** Watches without a response stay open, since a response may follow, but at most this many. */
-  private static final int MAX_UNANSWERED_WATCHES = 4;
+  /** Maximum time for which a watch waits for a response or for a further part of a list. */
+  private static final long MAX_RESPONSE_TIMEOUT_MILLIS = 8 * Watch.MAX_SILENCE_MILLIS;
 
   private static final long INITIAL_BACKOFF_MILLIS = 100;
 
@@ -50,17 +53,14 @@
   private final WatchTimeouts timeouts;
   private final Bootstrap bootstrap;
 
-  /** Open watches without a response, the oldest first. */
-  private final ArrayDeque<Channel> unanswered = new ArrayDeque<>();
+  /** The watches that are read, open or being opened, the oldest first. */
+  private final Map<Channel, Watch> watches = new LinkedHashMap<>();
 
   private SocketAddress address;
-
-  /** The watch whose lists are read; null while no open watch has a response. */
-  private Channel current;
-
   private Future<?> nextWatch;
   private long revision;
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
+  private long responseTimeoutMillis = Watch.MAX_SILENCE_MILLIS;
   private boolean ready;
   private int totalWatches;
 
@@ -81,7 +81,8 @@
     timeouts = WatchTimeouts.of(config.settings().limits().endpointSubscription());
     bootstrap =
         Transport.clientBootstrap(loop, config.discovery())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            // The timeout of the watch includes the connect.
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
             .handler(initializer(config.names()));
   }
 
@@ -93,7 +94,6 @@
         channel
             .pipeline()
             .addLast(
-                new ReadTimeoutHandler(READ_TIMEOUT_SECONDS),
                 new HttpClientCodec(),
                 new WatchHandler(DiscoveryClient.this, framer),
                 framer,
@@ -126,7 +126,7 @@
 
   /** Returns how many watches are open or being opened. */
   public int openWatchCount() {
-    return unanswered.size() + (current == null ? 0 : 1);
+    return watches.size();
   }
 
   /** Replaces all watches with one at another address, for changes after the last revision. */
@@ -136,20 +136,15 @@
     }
     address = newAddress;
     backoffMillis = INITIAL_BACKOFF_MILLIS;
-    Channel previous = current;
-    current = null;
-    List<Channel> previousUnanswered = List.copyOf(unanswered);
-    unanswered.clear();
+    List<Watch> previous = List.copyOf(watches.values());
+    previous.forEach(this::stopReading);
     openWatch();
-    previousUnanswered.forEach(Channel::close);
-    if (previous != null) {
-      previous.close();
-    }
+    previous.forEach(watch -> watch.channel().close());
   }
 
   private void openWatch() {
-    if (unanswered.size() >= MAX_UNANSWERED_WATCHES) {
-      unanswered.poll().close();
+    if (watches.size() >= MAX_OPEN_WATCHES) {
+      watches.values().stream().skip(MAX_RETAINED_WATCHES).findFirst().ifPresent(this::close);
     }
     ChannelFuture connecting = bootstrap.connect(address);
     if (!Transport.hasChannel(connecting)) {
@@ -158,51 +153,85 @@
       return;
     }
     Channel channel = connecting.channel();
-    unanswered.add(channel);
+    watches.put(channel, new Watch(channel, responseTimeoutMillis, this::extendResponseTimeout));
     totalWatches++;
     channel.closeFuture().addListener(closed -> watchEnded(channel));
-    scheduleWatch(timeouts.responseTimeoutMillis());
+    scheduleWatch(timeouts.hedgingDelayMillis());
+  }
+
+  /**
+   * Discovery may be slower than the timeout allows; with a fixed one no list would ever arrive.
+   */
+  private void extendResponseTimeout() {
+    responseTimeoutMillis = Math.min(MAX_RESPONSE_TIMEOUT_MILLIS, 2 * responseTimeoutMillis);
   }
 
   private void scheduleWatch(long delayMillis) {
+    cancelNextWatch();
+    nextWatch = loop.schedule(this::openWatch, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void cancelNextWatch() {
     if (nextWatch != null) {
       nextWatch.cancel(false);
     }
-    nextWatch = loop.schedule(this::openWatch, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void stopReading(Watch watch) {
+    watches.remove(watch.channel());
+    watch.stopTimeout();
+  }
+
+  private void close(Watch watch) {
+    stopReading(watch);
+    watch.channel().close();
+  }
+
+  private void closeAllExcept(Watch retained, Predicate<Watch> closed) {
+    for (Watch watch : List.copyOf(watches.values())) {
+      if (watch != retained && closed.test(watch)) {
+        close(watch);
+      }
+    }
   }
 
   private void watchEnded(Channel channel) {
-    boolean wasCurrent = channel == current;
-    if (wasCurrent) {
-      current = null;
+    Watch ended = watches.get(channel);
+    if (ended == null) {
+      return;
     }
-    // A watch that is neither current nor unanswered was replaced. While other unanswered watches
-    // are open, the next one is already scheduled.
-    boolean wasUnanswered = unanswered.remove(channel);
-    boolean wasLastUnanswered = wasUnanswered && unanswered.isEmpty() && current == null;
-    if (wasCurrent || wasLastUnanswered) {
+    stopReading(ended);
+    if (watches.isEmpty()) {
       scheduleWatch(backoffMillis);
       backoffMillis = Math.min(timeouts.maxBackoffMillis(), 2 * backoffMillis);
+    } else {
+      cancelNextWatchUnlessPending();
+    }
+  }
+
+  /** While a response or the rest of a list is awaited, the next watch is already scheduled. */
+  private void cancelNextWatchUnlessPending() {
+    if (watches.values().stream().noneMatch(Watch::isPending)) {
+      cancelNextWatch();
     }
   }
 
   /**
-   * Handles the start of a response: an unanswered watch becomes the current one, and the other
-   * unanswered ones are closed. Has no effect if the watch is not among the unanswered ones.
+   * Handles the start of a response: the other watches are closed, except those that have delivered
+   * a part of a list. Has no effect after the first call for a watch.
    */
   void responseStarted(Channel channel) {
-    if (unanswered.remove(channel)) {
-      nextWatch.cancel(false);
-      current = channel;
-      List<Channel> others = List.copyOf(unanswered);
-      unanswered.clear();
-      others.forEach(Channel::close);
+    Watch answered = watches.get(channel);
+    if (answered != null && answered.isUnanswered()) {
+      answered.responseStarted();
+      closeAllExcept(answered, watch -> !watch.isListIncomplete());
+      cancelNextWatchUnlessPending();
     }
   }
 
-  /** Returns whether this is the watch whose lists are read. */
-  boolean isCurrent(Channel channel) {
-    return channel == current;
+  /** Returns whether lists that this watch delivers are applied. */
+  boolean isRead(Channel channel) {
+    return watches.containsKey(channel);
   }
 
   /** Returns the last revision received, or the known one before the first update. */
@@ -210,12 +239,38 @@
     return revision;
   }
 
-  /** Handles an update received by the current watch. */
-  void updateReceived(EndpointList update) {
+  /**
+   * Handles a part of a list that is still incomplete: another watch is opened if the next part
+   * takes too long.
+   */
+  void listPartReceived(Channel channel, boolean whiteSpaceOnly) {
+    Watch watch = watches.get(channel);
+    if (watch == null) {
+      return;
+    }
+    watch.listPartReceived(whiteSpaceOnly);
+    if (!whiteSpaceOnly) {
+      scheduleWatch(timeouts.hedgingDelayMillis());
+    }
+  }
+
+  /** Handles a part of a response after which no list is incomplete. */
+  void upToDate(Channel channel) {
+    Watch watch = watches.get(channel);
+    if (watch != null) {
+      watch.upToDate();
+      cancelNextWatchUnlessPending();
+    }
+  }
+
+  /** Handles a list that a watch has delivered: the other watches are closed. */
+  void updateReceived(Channel channel, EndpointList update) {
+    closeAllExcept(watches.get(channel), watch -> true);
     listener.endpointsUpdated(
         update, update.complete() ? EndpointUpdateType.FULL : EndpointUpdateType.DELTA);
     revision = update.revision();
     ready = true;
     backoffMillis = INITIAL_BACKOFF_MILLIS;
+    responseTimeoutMillis = Watch.MAX_SILENCE_MILLIS;
   }
 }
--- a/src/main/java/merlinrouter/node/discovery/EndpointListHandler.java
+++ b/src/main/java/merlinrouter/node/discovery/EndpointListHandler.java
@@ -8,7 +8,7 @@
 import merlinrouter.node.config.InvalidConfigException;
 import merlinrouter.node.config.SettingNames;
 
-/** Parses each complete endpoint list of the current watch and passes it to the client. */
+/** Parses each complete endpoint list of a watch and passes it to the client. */
 final class EndpointListHandler extends SimpleChannelInboundHandler<ByteBuf> {
   private final DiscoveryClient client;
   private final SettingNames names;
@@ -21,8 +21,10 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, ByteBuf text)
       throws InvalidConfigException {
-    if (client.isCurrent(context.channel()) && context.channel().isOpen()) {
-      client.updateReceived(EndpointListReader.parse(text.toString(StandardCharsets.UTF_8), names));
+    if (client.isRead(context.channel()) && context.channel().isOpen()) {
+      client.updateReceived(
+          context.channel(),
+          EndpointListReader.parse(text.toString(StandardCharsets.UTF_8), names));
     }
   }
 
--- /dev/null
+++ b/src/main/java/merlinrouter/node/discovery/Watch.java
@@ -0,0 +1,105 @@
+package merlinrouter.node.discovery;
+
+import io.netty.channel.Channel;
+import java.util.concurrent.TimeUnit;
+import merlinrouter.node.config.InvalidConfigException;
+import merlinrouter.node.logging.ErrorLog;
+import merlinrouter.node.transport.ProgressTimeout;
+
+/**
+ * A watch of the endpoint list and what has been received on it. It is closed when nothing more
+ * arrives; while a list is incomplete, only further parts of that list count. Used on the event
+ * loop only.
+ */
+final class Watch {
+  /**
+   * Discovery writes to a watch at least every 2 s. A node is considered notified of the changes
+   * that a silent watch missed 6 s after the silence began.
+   */
+  static final long MAX_SILENCE_MILLIS = 3_000;
+
+  private enum State {
+    UNANSWERED,
+    LIST_INCOMPLETE,
+    BETWEEN_LISTS
+  }
+
+  private final Channel channel;
+  private final Runnable timeoutListener;
+  private final ProgressTimeout timeout;
+  private State state = State.UNANSWERED;
+
+  /**
+   * Creates the state of a watch that is being opened.
+   *
+   * @param channel the connection, not necessarily established
+   * @param timeoutMillis time without progress after which the watch is closed, until its first
+   *     list is complete
+   * @param timeoutListener invoked before the watch is closed while it awaits a response or the
+   *     rest of a list
+   */
+  Watch(Channel channel, long timeoutMillis, Runnable timeoutListener) {
+    this.channel = channel;
+    this.timeoutListener = timeoutListener;
+    timeout = new ProgressTimeout(channel.eventLoop(), this::timedOut);
+    timeout.start(TimeUnit.MILLISECONDS.toNanos(timeoutMillis));
+  }
+
+  private void timedOut() {
+    if (isListIncomplete()) {
+      ErrorLog.report(
+          "discovery",
+          new InvalidConfigException("the rest of an incomplete endpoint list did not arrive"));
+    }
+    if (isPending()) {
+      timeoutListener.run();
+    }
+    channel.close();
+  }
+
+  Channel channel() {
+    return channel;
+  }
+
+  boolean isUnanswered() {
+    return state == State.UNANSWERED;
+  }
+
+  boolean isListIncomplete() {
+    return state == State.LIST_INCOMPLETE;
+  }
+
+  /** Returns whether a response, or the rest of a list, is awaited. */
+  boolean isPending() {
+    return state != State.BETWEEN_LISTS;
+  }
+
+  /** Handles the start of the response. */
+  void responseStarted() {
+    state = State.BETWEEN_LISTS;
+    timeout.progressed();
+  }
+
+  /** Handles a part of an incomplete list; white space may go on for ever and is no progress. */
+  void listPartReceived(boolean whiteSpaceOnly) {
+    state = State.LIST_INCOMPLETE;
+    if (!whiteSpaceOnly) {
+      timeout.progressed();
+    }
+  }
+
+  /** Handles a part of the response that leaves no list incomplete. */
+  void upToDate() {
+    if (isListIncomplete()) {
+      state = State.BETWEEN_LISTS;
+      timeout.start(TimeUnit.MILLISECONDS.toNanos(MAX_SILENCE_MILLIS));
+    } else {
+      timeout.progressed();
+    }
+  }
+
+  /** Stops the timeout of a watch that is not read any more. */
+  void stopTimeout() {
+    timeout.stop();
+  }
+}
--- a/src/main/java/merlinrouter/node/discovery/WatchFailure.java
+++ b/src/main/java/merlinrouter/node/discovery/WatchFailure.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderException;
-import io.netty.handler.timeout.ReadTimeoutException;
 import merlinrouter.node.config.InvalidConfigException;
 import merlinrouter.node.logging.ErrorLog;
 
@@ -11,12 +10,11 @@
   private WatchFailure() {}
 
   /**
-   * Reports an error and closes the watch. A read timeout is not reported, since timeouts are usual
-   * while discovery is down. The report of a decoding error omits the text that could not be
-   * decoded, which may be a megabyte long.
+   * Reports an error and closes the watch. The report of a decoding error omits the text that could
+   * not be decoded, which may be a megabyte long.
    */
   static void closeAfter(ChannelHandlerContext context, Throwable cause) {
-    if (!(cause instanceof ReadTimeoutException) && context.channel().isOpen()) {
+    if (context.channel().isOpen()) {
       boolean undecodable =
           cause instanceof DecoderException
               && !(cause.getCause() instanceof InvalidConfigException);
--- a/src/main/java/merlinrouter/node/discovery/WatchHandler.java
+++ b/src/main/java/merlinrouter/node/discovery/WatchHandler.java
@@ -1,5 +1,7 @@
 package merlinrouter.node.discovery;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -10,26 +12,16 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
-import merlinrouter.node.config.InvalidConfigException;
 
 /**
  * The HTTP exchange of a watch: sends one request and passes on the content of its chunked
  * response, which stays open.
  */
 final class WatchHandler extends SimpleChannelInboundHandler<HttpObject> {
-  /**
-   * Discovery writes a list in one piece, so a list that is still incomplete after this time was
-   * cut short. Half of the 1 s that is allowed for draining.
-   */
-  private static final long LIST_COMPLETION_TIMEOUT_MILLIS = 500;
-
   private static final int STATUS_OK = 200;
 
   private final DiscoveryClient client;
   private final EndpointListFramer framer;
-  private Future<?> completionTimeout;
   private boolean ended;
 
   WatchHandler(DiscoveryClient client, EndpointListFramer framer) {
@@ -54,13 +46,14 @@
     if (!ended) {
       client.responseStarted(context.channel());
     }
-    if (ended || !client.isCurrent(context.channel())) {
+    if (ended || !client.isRead(context.channel())) {
       context.close();
       return;
     }
     if (part instanceof HttpContent content) {
+      boolean whiteSpaceOnly = isWhiteSpace(content.content());
       context.fireChannelRead(content.content().retain());
-      updateCompletionTimeout(context);
+      reportProgress(context.channel(), whiteSpaceOnly);
     }
     if (part instanceof LastHttpContent) {
       context.close();
@@ -71,37 +64,20 @@
     return part instanceof HttpResponse response && response.status().code() != STATUS_OK;
   }
 
-  /**
-   * Starts or cancels the timeout after which the watch is closed because a list stays incomplete:
-   * later lists would be parsed as the rest of it.
-   */
-  private void updateCompletionTimeout(ChannelHandlerContext context) {
-    if (framer.isBetweenLists() && completionTimeout != null) {
-      completionTimeout.cancel(false);
-      completionTimeout = null;
-    } else if (!framer.isBetweenLists() && completionTimeout == null) {
-      completionTimeout =
-          context
-              .channel()
-              .eventLoop()
-              .schedule(
-                  () ->
-                      WatchFailure.closeAfter(
-                          context,
-                          new InvalidConfigException(
-                              "the endpoint list is still incomplete after "
-                                  + LIST_COMPLETION_TIMEOUT_MILLIS
-                                  + " ms")),
-                  LIST_COMPLETION_TIMEOUT_MILLIS,
-                  TimeUnit.MILLISECONDS);
+  private void reportProgress(Channel channel, boolean whiteSpaceOnly) {
+    if (framer.isBetweenLists()) {
+      client.upToDate(channel);
+    } else {
+      client.listPartReceived(channel, whiteSpaceOnly);
     }
   }
 
+  private static boolean isWhiteSpace(ByteBuf text) {
+    return text.forEachByte(each -> each <= ' ' && each >= 0) < 0;
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    if (completionTimeout != null) {
-      completionTimeout.cancel(false);
-    }
     ended = true;
     context.fireChannelInactive();
   }
--- a/src/main/java/merlinrouter/node/discovery/WatchTimeouts.java
+++ b/src/main/java/merlinrouter/node/discovery/WatchTimeouts.java
@@ -4,10 +4,10 @@
  * Delays after which a watch is replaced, or another one is opened beside it.
  *
  * @param maxBackoffMillis maximum delay between the end of a watch and the next one
- * @param responseTimeoutMillis time after which another watch is opened beside one without a
- *     response
+ * @param hedgingDelayMillis time without a response, or without a further part of an incomplete
+ *     list, after which another watch is opened beside those that are open
  */
-record WatchTimeouts(long maxBackoffMillis, long responseTimeoutMillis) {
+record WatchTimeouts(long maxBackoffMillis, long hedgingDelayMillis) {
   /**
    * For a list that a local agent pushes. The agent responds immediately, and watches do not load
    * it. After a restart of the agent, a change must be received within the 1 s that is allowed for
--- /dev/null
+++ b/src/test/java/merlinrouter/node/SlowDiscoveryTest.java
@@ -0,0 +1,93 @@
+package merlinrouter.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Discovery that is slow on every watch: what it delivers must be applied in the end. The only
+ * endpoint is listed by discovery, so that a request is served once its list has been applied.
+ */
+@Timeout(60)
+class SlowDiscoveryTest extends NodeFixture {
+  private static final long PAUSE_BETWEEN_REQUESTS_MILLIS = 20;
+
+  private static final String HALF_A_LIST =
+      "{\"revision\":9,\"complete\":true,\"members\":[{\"id\":\"s-";
+
+  private static void respondInPieces(
+      ScriptedServer.Message request, String text, int pieceBytes, long pauseMillis)
+      throws IOException, InterruptedException {
+    request.respond(ScriptedServer.CHUNKED_RESPONSE_HEAD);
+    for (int from = 0; from < text.length(); from += pieceBytes) {
+      int to = Math.min(text.length(), from + pieceBytes);
+      request.respond(ScriptedServer.chunk(text.substring(from, to)));
+      Thread.sleep(pauseMillis);
+    }
+  }
+
+  private void awaitServed(EdgeNode node) throws Exception {
+    Socket client = connect(node);
+    String status = "";
+    for (int i = 0; !status.equals("200"); i++) {
+      Thread.sleep(PAUSE_BETWEEN_REQUESTS_MILLIS); // Lets the timeout interrupt a failing test.
+      status = requestStatus(client, "w-" + i);
+    }
+  }
+
+  /** Watches were closed 0.5 s after the start of a list, so that no list was ever applied. */
+  @ParameterizedTest
+  @CsvSource({"1, 5", "24, 100", "64, 1200", "100, 2200"})
+  void aListInPiecesIsApplied(int pieceBytes, long pauseMillis) throws Exception {
+    ScriptedServer server = startOkServer("x");
+    String list = updateJson(6, readyEndpointJson("s-1", server.address())) + "\n";
+    discovery = startServer(request -> respondInPieces(request, list, pieceBytes, pauseMillis));
+    awaitServed(startNode(configJson()));
+  }
+
+  /** A watch that has stopped must be replaced although other watches are merely slow. */
+  @ParameterizedTest
+  @CsvSource({"24, 100", "100, 1200"})
+  void aStoppedWatchIsReplacedByOneThatDeliversItsListInPieces(int pieceBytes, long pauseMillis)
+      throws Exception {
+    ScriptedServer server = startOkServer("x");
+    String list = updateJson(6, readyEndpointJson("s-1", server.address())) + "\n";
+    AtomicInteger watches = new AtomicInteger();
+    discovery =
+        startServer(
+            request -> {
+              if (watches.getAndIncrement() % 2 == 0) {
+                respondInPieces(request, HALF_A_LIST + "\n".repeat(600), HALF_A_LIST.length(), 100);
+              } else {
+                respondInPieces(request, list, pieceBytes, pauseMillis);
+              }
+            });
+    EdgeNode node = startNode(configJson());
+    awaitServed(node);
+    assertEquals(
+        1,
+        node.loop().submit(() -> node.discovery().openWatchCount()).get(),
+        "open watches; only the one that delivered the list must stay open");
+  }
+
+  /** Each watch was given up sooner than discovery responded. */
+  @Test
+  void aListIsAppliedThoughEachResponseTakesSeconds() throws Exception {
+    ScriptedServer server = startOkServer("x");
+    discovery =
+        startServer(
+            request -> {
+              TimeUnit.MILLISECONDS.sleep(3_500);
+              request.respond(
+                  watchResponse(updateJson(6, readyEndpointJson("s-1", server.address()))));
+            });
+    awaitServed(startNode(configJson()));
+  }
+}
