Parse endpoint lists as they arrive, without a limit on their length

Seen by callers: a watch that delivered a list of over 1 MiB was closed, again and again, and the node kept the list of its configuration. An indented list of 3,200 endpoints is longer.

Cause: EndpointListFramer collected a list as text and refused more than 1 MiB.

--- a/src/main/java/merlinrouter/node/config/EndpointListReader.java
+++ b/src/main/java/merlinrouter/node/config/EndpointListReader.java
@@ -8,42 +8,41 @@
 import merlinrouter.model.EndpointState;
 
 /** Reads endpoint lists, which are JSON. */
-public final class EndpointListReader {
+final class EndpointListReader {
   private EndpointListReader() {}
 
-  /**
-   * Reads an endpoint list sent by discovery.
-   *
-   * @param text the list, in JSON
-   * @param names names in the settings that the list refers to
-   * @throws InvalidConfigException if the text is not an endpoint list
-   */
-  public static EndpointList parse(String text, SettingNames names) throws InvalidConfigException {
-    return read(JsonFields.parse(text, "the endpoint list"), names);
-  }
-
   static EndpointList read(JsonNode node, SettingNames names) throws InvalidConfigException {
-    if (!JsonFields.required(node, EndpointListKeys.ENTRIES).isArray()
-        || !JsonFields.required(node, EndpointListKeys.REVISION).isIntegralNumber()) {
+    if (!JsonFields.required(node, EndpointListKeys.ENTRIES).isArray()) {
       throw new InvalidConfigException(
-          "the endpoint list is invalid: "
-              + EndpointListKeys.ENTRIES
-              + " is not an array, or "
-              + EndpointListKeys.REVISION
-              + " is not an integer");
+          "the endpoint list is invalid: " + EndpointListKeys.ENTRIES + " is not an array");
     }
     List<EndpointEntry> entries = new ArrayList<>();
     for (JsonNode entry : node.get(EndpointListKeys.ENTRIES)) {
       entries.add(entry(entry, names));
     }
+    return list(node, entries);
+  }
+
+  /**
+   * Creates the list with the given entries.
+   *
+   * @param node an object with the other fields of the list
+   * @param entries the entries
+   * @throws InvalidConfigException if the revision is missing or invalid
+   */
+  static EndpointList list(JsonNode node, List<EndpointEntry> entries)
+      throws InvalidConfigException {
+    if (!JsonFields.required(node, EndpointListKeys.REVISION).isIntegralNumber()) {
+      throw new InvalidConfigException(
+          "the endpoint list is invalid: " + EndpointListKeys.REVISION + " is not an integer");
+    }
     return new EndpointList(
         node.get(EndpointListKeys.REVISION).asLong(),
         node.path(EndpointListKeys.COMPLETE).asBoolean(false),
         entries);
   }
 
-  private static EndpointEntry entry(JsonNode node, SettingNames names)
-      throws InvalidConfigException {
+  static EndpointEntry entry(JsonNode node, SettingNames names) throws InvalidConfigException {
     String id = JsonFields.required(node, EndpointListKeys.ID).asText();
     EndpointState state = state(JsonFields.required(node, EndpointListKeys.STATE).asText());
     // Wall-clock time; EndpointStartTimes converts it to the monotonic clock.
--- a/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
+++ b/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
@@ -90,13 +90,11 @@
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(Channel channel) {
-        EndpointListFramer framer = new EndpointListFramer();
         channel
             .pipeline()
             .addLast(
                 new HttpClientCodec(),
-                new WatchHandler(DiscoveryClient.this, framer),
-                framer,
+                new WatchHandler(DiscoveryClient.this),
                 new EndpointListHandler(DiscoveryClient.this, names));
       }
     };
--- a/src/main/java/merlinrouter/node/discovery/WatchHandler.java
+++ b/src/main/java/merlinrouter/node/discovery/WatchHandler.java
@@ -1,7 +1,5 @@
 package merlinrouter.node.discovery;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -21,12 +19,10 @@
   private static final int STATUS_OK = 200;
 
   private final DiscoveryClient client;
-  private final EndpointListFramer framer;
   private boolean ended;
 
-  WatchHandler(DiscoveryClient client, EndpointListFramer framer) {
+  WatchHandler(DiscoveryClient client) {
     this.client = client;
-    this.framer = framer;
   }
 
   @Override
@@ -51,9 +47,7 @@
       return;
     }
     if (part instanceof HttpContent content) {
-      boolean whiteSpaceOnly = isWhiteSpace(content.content());
       context.fireChannelRead(content.content().retain());
-      reportProgress(context.channel(), whiteSpaceOnly);
     }
     if (part instanceof LastHttpContent) {
       context.close();
@@ -64,18 +58,6 @@
     return part instanceof HttpResponse response && response.status().code() != STATUS_OK;
   }
 
-  private void reportProgress(Channel channel, boolean whiteSpaceOnly) {
-    if (framer.isBetweenLists()) {
-      client.upToDate(channel);
-    } else {
-      client.listPartReceived(channel, whiteSpaceOnly);
-    }
-  }
-
-  private static boolean isWhiteSpace(ByteBuf text) {
-    return text.forEachByte(each -> each <= ' ' && each >= 0) < 0;
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     ended = true;
--- a/src/test/java/merlinrouter/node/SlowDiscoveryTest.java
+++ b/src/test/java/merlinrouter/node/SlowDiscoveryTest.java
@@ -90,4 +90,22 @@
             });
     awaitServed(startNode(configJson()));
   }
+
+  /** Lists of over 1 MiB were refused, and an indented one of the largest fleet is larger. */
+  @Test
+  void anIndentedListOfTheLargestFleetIsApplied() throws Exception {
+    ScriptedServer server = startOkServer("x");
+    String[] endpoints = new String[3_200];
+    for (int i = 1; i < endpoints.length; i++) {
+      endpoints[i] = endpointJson("s-" + i, "127.0.0.1:1", "Terminating", 1_796_600_000_000L);
+    }
+    endpoints[0] = readyEndpointJson("s-0", server.address());
+    String list =
+        fullListJson(6, endpoints)
+            .replace(",", ",\n" + " ".repeat(24))
+            .replace("{", "{\n" + " ".repeat(16));
+    discovery = startServer(request -> respondInPieces(request, list + "\n", 64 * 1_024, 20));
+    awaitServed(startNode(configJson()));
+    assertEquals(1, discovery.received.size(), "the watch was closed because of the long list");
+  }
 }
