Count the time without a response of the counter from the last bytes received

A response of the counter that was incomplete when its call timed out closed the connection, and all calls on it ended with an unknown outcome. A counter whose first response takes longer than ten call timeouts was never heard: each connection was closed before it, for ever.

Cause: CounterConnection.callTimedOut took any incomplete response for one cut short, and the age of the oldest call, which goes on while responses arrive, for the counter's silence.

Change: both limits count from the last bytes received; the time without any doubles for the next connection, up to 160 call timeouts, until a response arrives.

Evidence: CounterClientTest.aResponseThatGoesOnToArriveDoesNotCloseTheConnection (RESET, TIMEOUT expected) and aCounterWhoseFirstResponseTakesManyTimeoutsIsNotGivenUpForEver (timed out after 20 s) failed before and pass.

--- a/src/main/java/merlinrouter/node/counter/CounterConnection.java
+++ b/src/main/java/merlinrouter/node/counter/CounterConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -25,12 +26,6 @@
 final class CounterConnection extends ResponseHandler {
   private static final int MAX_RESPONSE_BYTES = 1024;
 
-  /**
-   * The connection is assumed dead if its oldest call has no response after this many call
-   * timeouts.
-   */
-  private static final int MAX_TIMEOUTS_WITHOUT_RESPONSE = 10;
-
   private final CounterShard shard;
   private final long callTimeoutNanos;
   private final ResponseDecoder decoder = new ResponseDecoder();
@@ -39,6 +34,8 @@
   /** Calls passed to the channel whose responses are due, oldest first. */
   private final ArrayDeque<CounterCall> pending = new ArrayDeque<>();
 
+  private long lastReadNanos = System.nanoTime();
+  private boolean responded;
   private boolean connected;
   private boolean closed;
 
@@ -104,21 +101,32 @@
   }
 
   /**
-   * Handles the timeout of a call. Closes the connection if it is assumed dead, if the call has not
-   * been written (it must not be written later), or if part of a response was received (the rest is
-   * assumed lost).
+   * Handles the timeout of a call. Closes the connection if the call has not been written (it must
+   * not be written later), or if nothing has been read for so long that the connection is assumed
+   * dead or the rest of a response lost. A counter that is merely slow goes on to respond.
    */
   void callTimedOut(CounterCall call) {
+    long silentNanos = System.nanoTime() - lastReadNanos;
     CounterCall oldest = pending.peek();
     boolean assumedDead =
-        oldest != null && oldest.ageNanos() > MAX_TIMEOUTS_WITHOUT_RESPONSE * callTimeoutNanos;
-    if (!call.isWritten() || assumedDead || !decoder.isBetweenResponses()) {
+        oldest != null && Math.min(silentNanos, oldest.ageNanos()) > shard.maxResponseDelayNanos();
+    boolean responseCutShort = !decoder.isBetweenResponses() && silentNanos > callTimeoutNanos;
+    if (assumedDead && !responded) {
+      shard.extendMaxResponseDelay();
+    }
+    if (!call.isWritten() || assumedDead || responseCutShort) {
       close();
     } else {
       closeIfReplacedAndDone();
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    lastReadNanos = System.nanoTime();
+    context.fireChannelReadComplete();
+  }
+
   /** Closes the connection if another one has replaced it and no call is open on it. */
   void closeIfReplacedAndDone() {
     boolean done = pending.isEmpty() || pending.peekLast().isEnded();
@@ -151,6 +159,8 @@
 
   @Override
   protected void responseReceived(HttpResponse head, ByteBuf body) {
+    responded = true;
+    shard.resetMaxResponseDelay();
     CounterCall call = pending.poll();
     CounterResponse response = CounterResponse.of(head, body);
     call.end(response.outcome(), response.total());
--- a/src/main/java/merlinrouter/node/counter/CounterShard.java
+++ b/src/main/java/merlinrouter/node/counter/CounterShard.java
@@ -13,6 +13,11 @@
 final class CounterShard {
   private static final int MAX_OPEN_CALLS = 256;
 
+  /** A connection is assumed dead if nothing is received on it for this many call timeouts. */
+  private static final int MIN_TIMEOUTS_WITHOUT_RESPONSE = 10;
+
+  private static final int MAX_TIMEOUTS_WITHOUT_RESPONSE = 16 * MIN_TIMEOUTS_WITHOUT_RESPONSE;
+
   private final EventLoop loop;
   private final long callTimeoutNanos;
   private final Function<CounterShard, CounterConnection> connector;
@@ -23,6 +28,7 @@
   private CounterConnection connection;
   private CounterCall lastWritten;
   private boolean writeScheduled;
+  private int timeoutsWithoutResponse = MIN_TIMEOUTS_WITHOUT_RESPONSE;
 
   CounterShard(
       EventLoop loop, long callTimeoutNanos, Function<CounterShard, CounterConnection> connector) {
@@ -64,6 +70,24 @@
     }
   }
 
+  /** Returns the time without a response after which a connection is assumed dead. */
+  long maxResponseDelayNanos() {
+    return timeoutsWithoutResponse * callTimeoutNanos;
+  }
+
+  /**
+   * Handles a connection on which nothing was received in time: the counter may be slower than
+   * that, and no connection would ever last until its first response.
+   */
+  void extendMaxResponseDelay() {
+    timeoutsWithoutResponse = Math.min(MAX_TIMEOUTS_WITHOUT_RESPONSE, 2 * timeoutsWithoutResponse);
+  }
+
+  /** Handles a response. */
+  void resetMaxResponseDelay() {
+    timeoutsWithoutResponse = MIN_TIMEOUTS_WITHOUT_RESPONSE;
+  }
+
   /** Replaces the connection; the previous one stays open for the calls written to it. */
   void reconnect() {
     if (connection != null) {
--- a/src/test/java/merlinrouter/node/CounterClientTest.java
+++ b/src/test/java/merlinrouter/node/CounterClientTest.java
@@ -8,14 +8,18 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.Socket;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import merlinrouter.node.config.NodeConfig;
 import merlinrouter.node.config.NodeConfigReader;
 import merlinrouter.node.counter.CounterClient;
+import merlinrouter.node.counter.CounterResult;
 import merlinrouter.node.transport.EventLoops;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,7 +29,11 @@
 @Timeout(120)
 class CounterClientTest extends NodeFixture {
   private static final long TIME_TO_LIVE_NANOS = 4_000_000_000L;
+  private static final long CALL_TIMEOUT_NANOS = 2_000_000_000L;
+  private static final long SHORT_CALL_TIMEOUT_NANOS = 60_000_000L;
+
   private final BlockingQueue<String> results = new LinkedBlockingQueue<>();
+  private final Set<Socket> connectionsWithResponse = ConcurrentHashMap.newKeySet();
   private EventLoop loop;
   private CounterClient client;
 
@@ -34,29 +42,24 @@
     EventLoopGroup group = EventLoops.newSingleLoopGroup(NioIoHandler.newFactory());
     resources.add(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly());
     loop = group.next();
-    NodeConfig config = configWithCounter(counter);
-    client =
-        loop.submit(
-                () ->
-                    new CounterClient(
-                        result ->
-                            results.add(
-                                result.counterKey()
-                                    + " "
-                                    + result.outcome()
-                                    + " "
-                                    + result.total()),
-                        loop,
-                        config))
-            .get();
+    client = newClient(configWithCounter(counter, CALL_TIMEOUT_NANOS));
+  }
+
+  private CounterClient newClient(NodeConfig config) throws Exception {
+    return loop.submit(() -> new CounterClient(this::addResult, loop, config)).get();
+  }
+
+  private void addResult(CounterResult result) {
+    results.add(result.counterKey() + " " + result.outcome() + " " + result.total());
   }
 
-  private NodeConfig configWithCounter(ScriptedServer server) throws Exception {
+  private NodeConfig configWithCounter(ScriptedServer server, long callTimeoutNanos)
+      throws Exception {
     return NodeConfigReader.parse(
         withSetting(
             configJson().replace(counter.address(), server.address()),
             "count-wait-ns",
-            2_000_000_000L));
+            callTimeoutNanos));
   }
 
   private void add(long counterKey, double amount) {
@@ -136,7 +139,7 @@
     ScriptedServer newCounter = startOkServer("2");
     add(4, 1);
     counter.awaitRequest();
-    NodeConfig newConfig = configWithCounter(newCounter);
+    NodeConfig newConfig = configWithCounter(newCounter, CALL_TIMEOUT_NANOS);
     loop.submit(() -> client.switchTo(newConfig.counter())).get();
     add(4, 1);
     add(8, 1);
@@ -166,4 +169,50 @@
           result != null && result.startsWith(4L * i + " "), "call " + i + " ended as " + result);
     }
   }
+
+  /** A response that was incomplete when its call timed out closed the connection. */
+  @Test
+  void aResponseThatGoesOnToArriveDoesNotCloseTheConnection() throws Exception {
+    CompletableFuture<Void> firstCallEnded = new CompletableFuture<>();
+    counterScript =
+        request -> {
+          if (counter.received.size() == 1) {
+            request.respond("HTTP/1.1 200 OK\r\nX-Padding: ");
+            while (!firstCallEnded.isDone()) {
+              request.respond("x");
+              Thread.sleep(100);
+            }
+            request.respond("\r\nContent-Length: 2\r\n\r\n77");
+          } else {
+            request.respond(ScriptedServer.okResponse("", "88"));
+          }
+        };
+    add(4, 1);
+    add(4, 1);
+    assertNextResult("4 TIMEOUT 0.0");
+    assertNextResult("4 TIMEOUT 0.0");
+    add(4, 1);
+    firstCallEnded.complete(null);
+    assertNextResult("4 OK 88.0");
+    assertTrue(counter.endedConnections.isEmpty(), "the connection was closed");
+  }
+
+  /** Each connection was given up before the counter's first response on it. */
+  @Test
+  void aCounterWhoseFirstResponseTakesManyTimeoutsIsNotGivenUpForEver() throws Exception {
+    counterScript =
+        request -> {
+          if (!connectionsWithResponse.contains(request.connection())) {
+            Thread.sleep(20 * SHORT_CALL_TIMEOUT_NANOS / 1_000_000L);
+            connectionsWithResponse.add(request.connection());
+          }
+          request.respond(ScriptedServer.okResponse("", "88"));
+        };
+    client = newClient(configWithCounter(counter, SHORT_CALL_TIMEOUT_NANOS));
+    String result = "";
+    while (!result.equals("4 OK 88.0")) {
+      add(4, 1);
+      result = results.take();
+    }
+  }
 }
