Keep an attempt whose response goes on to arrive

A response that took over 0.25 s from its first byte to its last was given up. A class that may not be repeated got 502; a retry met the same limit, and its client got 429.

Cause: UpstreamConnection counted RESPONSE_COMPLETION_TIMEOUT_NANOS from the first bytes of the response, whether or not more arrived.

Change: the 0.25 s count from the last part, and only for the first attempt of a request that may be repeated. Otherwise the attempt's timeout alone counts, since giving up earlier gains nothing, and other endpoints may be as slow.

Evidence: SlowEndpointTest failed before in 4 of 4 cases (502, 502, 429, 429) and passes. MalformedResponseTest takes 61 s now: a class that may not be repeated waits the client's 20 s for the rest of three responses.

--- a/src/main/java/merlinrouter/node/upstream/Attempt.java
+++ b/src/main/java/merlinrouter/node/upstream/Attempt.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -57,6 +58,16 @@
     return written;
   }
 
+  /**
+   * Returns whether another attempt may follow if this one gets no response: only then is it of use
+   * to give this one up before its timeout. After the first attempt the timeout alone counts, since
+   * other endpoints may be as slow.
+   */
+  boolean mayBeReplaced() {
+    boolean repeatable = request.method() == HttpMethod.GET || request.idempotencyKey() != null;
+    return repeatable && request.attempts() <= 1;
+  }
+
   /** Reads the client's connection and returns whether the client still waits for the response. */
   boolean readAndCheckClientWaiting() {
     return request.readAndCheckClientWaiting();
--- a/src/main/java/merlinrouter/node/upstream/UpstreamConnection.java
+++ b/src/main/java/merlinrouter/node/upstream/UpstreamConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import merlinrouter.model.Outcome;
 import merlinrouter.node.http.ResponseDecoder;
@@ -15,6 +14,7 @@
 import merlinrouter.node.http.ServiceProtocol;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.transport.EventLoops;
+import merlinrouter.node.transport.ProgressTimeout;
 
 /**
  * An HTTP/1.1 connection to an endpoint, which carries one request at a time. While it is idle it
@@ -28,15 +28,16 @@
   private static final long QUIET_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
   /**
-   * A body has at most {@link ServiceProtocol#MAX_BODY_BYTES} bytes, so a response that is still
-   * incomplete this long after its first bytes counts as malformed.
+   * A response of which nothing more arrives for this time counts as malformed, if another attempt
+   * may get one sooner.
    */
-  private static final long RESPONSE_COMPLETION_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+  private static final long RESPONSE_PROGRESS_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   private final ResponseDecoder decoder;
   private final EventLoop loop;
   private final NodeLog log;
   private final double maxChargedUnits;
+  private final ProgressTimeout responseTimeout;
   private Channel channel;
   private EndpointPool pool;
   private Attempt attempt;
@@ -46,7 +47,6 @@
 
   private boolean quietPeriodOver = true;
   private long idleSinceNanos;
-  private Future<?> completionTimeout;
 
   UpstreamConnection(ResponseDecoder decoder, EventLoop loop, NodeLog log, double maxChargedUnits) {
     super(ServiceProtocol.MAX_BODY_BYTES);
@@ -54,6 +54,7 @@
     this.loop = loop;
     this.log = log;
     this.maxChargedUnits = maxChargedUnits;
+    responseTimeout = new ProgressTimeout(loop, this::connectionFailed);
   }
 
   /** Not in {@code channelActive}, which is called after the listeners of the connect. */
@@ -161,12 +162,12 @@
   public void channelReadComplete(ChannelHandlerContext context) {
     boolean betweenResponses = decoder.isBetweenResponses();
     if (attempt != null) {
-      updateCompletionTimeout(!betweenResponses);
+      updateResponseTimeout(!betweenResponses && attempt.mayBeReplaced());
     } else if (!betweenResponses) {
       channel.close();
     } else if (reusable) {
       reusable = false;
-      updateCompletionTimeout(false);
+      responseTimeout.stop();
       startQuietPeriod();
       release();
     }
@@ -181,21 +182,20 @@
     EventLoops.runAfterNextPoll(loop, QUIET_PERIOD_NANOS, () -> quietPeriodOver = true);
   }
 
-  private void updateCompletionTimeout(boolean responseIncomplete) {
-    if (responseIncomplete && completionTimeout == null) {
-      completionTimeout =
-          loop.schedule(
-              () -> connectionFailed(), RESPONSE_COMPLETION_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
-    } else if (!responseIncomplete && completionTimeout != null) {
-      completionTimeout.cancel(false);
-      completionTimeout = null;
+  private void updateResponseTimeout(boolean expectsMore) {
+    if (!expectsMore) {
+      responseTimeout.stop();
+    } else if (responseTimeout.isRunning()) {
+      responseTimeout.progressed();
+    } else {
+      responseTimeout.start(RESPONSE_PROGRESS_TIMEOUT_NANOS);
     }
   }
 
   /** Handles a malformed or overdue response, or the end of the connection. */
   @Override
   protected void connectionFailed() {
-    updateCompletionTimeout(false);
+    responseTimeout.stop();
     if (attempt != null) {
       log.request(
           NodeLog.Event.RESPONSE_INCOMPLETE,
