Apply the entries of an endpoint list whose rest does not arrive

Seen by callers: none reported; found beside the lists in pieces. Where watches end or stop before their list is complete, or its rest takes seconds, draining endpoints kept getting requests, although discovery had delivered their entries.

Cause: a list was applied only as a whole, and each next watch began it anew.

Change: entries of an incomplete list are applied as changes 0.1 s after they arrived or when the watch ends. The revision stays, so that the next watch delivers them again; EndpointListMerger reverts what that watch does not repeat, and keeps entries of a newer list over those of an older one that is completed later.

--- a/src/main/java/merlinrouter/node/EdgeNode.java
+++ b/src/main/java/merlinrouter/node/EdgeNode.java
@@ -111,7 +111,7 @@
     monitor.start(loop, endpointUpdater::observeClocks);
     EndpointList known = config.knownEndpoints();
     endpointUpdater.endpointsUpdated(known, EndpointUpdateType.CACHED);
-    discovery.start(known.revision());
+    discovery.start(known);
     if (reloadedBeforeStart != null) {
       switchAddresses(reloadedBeforeStart);
     }
--- a/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
+++ b/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
@@ -58,7 +58,7 @@
 
   private SocketAddress address;
   private Future<?> nextWatch;
-  private long revision;
+  private EndpointListMerger merger;
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
   private long responseTimeoutMillis = Watch.MAX_SILENCE_MILLIS;
   private boolean ready;
@@ -103,10 +103,10 @@
   /**
    * Opens the first watch.
    *
-   * @param knownRevision revision of the list already known; watches request later changes
+   * @param known the list already known; watches request later changes
    */
-  public void start(long knownRevision) {
-    revision = knownRevision;
+  public void start(EndpointList known) {
+    merger = new EndpointListMerger(known);
     // An unavailable discovery must not keep the node from serving with the list that it has.
     loop.schedule(() -> ready = true, READY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     openWatch();
@@ -198,6 +198,10 @@
     if (ended == null) {
       return;
     }
+    EndpointListHandler lists = channel.pipeline().get(EndpointListHandler.class);
+    if (lists != null) {
+      lists.deliverIncompleteList();
+    }
     stopReading(ended);
     if (watches.isEmpty()) {
       scheduleWatch(backoffMillis);
@@ -232,9 +236,9 @@
     return watches.containsKey(channel);
   }
 
-  /** Returns the last revision received, or the known one before the first update. */
+  /** Returns the revision of the last complete list, or the known one before the first. */
   long revision() {
-    return revision;
+    return merger.revision();
   }
 
   /**
@@ -261,12 +265,20 @@
     }
   }
 
+  /** Handles entries of an incomplete list, which take effect before the rest of it arrives. */
+  void entriesReceived(EndpointList part) {
+    EndpointList changes = merger.mergePart(part);
+    if (!changes.entries().isEmpty()) {
+      listener.endpointsUpdated(changes, EndpointUpdateType.DELTA);
+    }
+  }
+
   /** Handles a list that a watch has delivered: the other watches are closed. */
   void updateReceived(Channel channel, EndpointList update) {
     closeAllExcept(watches.get(channel), watch -> true);
+    EndpointList merged = merger.mergeList(update);
     listener.endpointsUpdated(
-        update, update.complete() ? EndpointUpdateType.FULL : EndpointUpdateType.DELTA);
-    revision = update.revision();
+        merged, merged.complete() ? EndpointUpdateType.FULL : EndpointUpdateType.DELTA);
     ready = true;
     backoffMillis = INITIAL_BACKOFF_MILLIS;
     responseTimeoutMillis = Watch.MAX_SILENCE_MILLIS;
--- a/src/test/java/merlinrouter/node/DiscoveryWatchTest.java
+++ b/src/test/java/merlinrouter/node/DiscoveryWatchTest.java
@@ -18,15 +18,6 @@
  */
 @Timeout(120)
 class DiscoveryWatchTest extends NodeFixture {
-  /** Waits until a request is served, which needs an endpoint that only the watch lists. */
-  private void awaitServed(EdgeNode node) throws Exception {
-    Socket client = connect(node);
-    String status = "";
-    for (int i = 0; !status.equals("200"); i++) {
-      status = requestStatus(client, "w-" + i);
-    }
-  }
-
   /** Updates that a silent watch misses count as delivered 6 s after the start of the silence. */
   @Test
   void aSilentWatchIsReplacedBeforeMissedUpdatesCountAsDelivered() throws Exception {
--- a/src/test/java/merlinrouter/node/NodeFixture.java
+++ b/src/test/java/merlinrouter/node/NodeFixture.java
@@ -31,6 +31,8 @@
 
   private static final int CLIENT_TIMEOUT_MILLIS = 60_000;
 
+  private static final long PAUSE_BETWEEN_REQUESTS_MILLIS = 20;
+
   /** The resources that a test has opened; closed in reverse order after the test. */
   final List<AutoCloseable> resources = new ArrayList<>();
 
@@ -236,4 +238,15 @@
     writeKeyedRequest(client, requestId);
     return readStatus(client);
   }
+
+  /** Waits until a request is served, for example by an endpoint that discovery has yet to list. */
+  void awaitServed(EdgeNode node) throws Exception {
+    Socket client = connect(node);
+    String status = "";
+    for (int i = 0; !status.equals("200"); i++) {
+      // Between requests the timeout of a test can interrupt it.
+      Thread.sleep(PAUSE_BETWEEN_REQUESTS_MILLIS);
+      status = requestStatus(client, "w-" + i);
+    }
+  }
 }
--- a/src/test/java/merlinrouter/node/SlowDiscoveryTest.java
+++ b/src/test/java/merlinrouter/node/SlowDiscoveryTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
-import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -17,8 +17,6 @@
  */
 @Timeout(60)
 class SlowDiscoveryTest extends NodeFixture {
-  private static final long PAUSE_BETWEEN_REQUESTS_MILLIS = 20;
-
   private static final String HALF_A_LIST =
       "{\"revision\":9,\"complete\":true,\"members\":[{\"id\":\"s-";
 
@@ -33,15 +31,6 @@
     }
   }
 
-  private void awaitServed(EdgeNode node) throws Exception {
-    Socket client = connect(node);
-    String status = "";
-    for (int i = 0; !status.equals("200"); i++) {
-      Thread.sleep(PAUSE_BETWEEN_REQUESTS_MILLIS); // Lets the timeout interrupt a failing test.
-      status = requestStatus(client, "w-" + i);
-    }
-  }
-
   /** Watches were closed 0.5 s after the start of a list, so that no list was ever applied. */
   @ParameterizedTest
   @CsvSource({"1, 5", "24, 100", "64, 1200", "100, 2200"})
@@ -108,4 +97,39 @@
     awaitServed(startNode(configJson()));
     assertEquals(1, discovery.received.size(), "the watch was closed because of the long list");
   }
+
+  /** Each watch began the list anew, and an entry took effect only once its whole list arrived. */
+  @Test
+  void anEntryTakesEffectThoughEachWatchEndsBeforeItsListIsComplete() throws Exception {
+    ScriptedServer server = startOkServer("x");
+    String list = updateJson(6, readyEndpointJson("s-1", server.address()), HALF_A_LIST);
+    discovery =
+        startServer(
+            request -> {
+              request.respond(ScriptedServer.CHUNKED_RESPONSE_HEAD);
+              request.respond(ScriptedServer.chunk(list.substring(0, list.length() - 4)));
+              request.connection().close();
+            });
+    awaitServed(startNode(configJson()));
+  }
+
+  /** As above, but no watch ends or fails: the rest of the list takes too long. */
+  @Test
+  void anEntryTakesEffectBeforeTheRestOfItsListArrives() throws Exception {
+    ScriptedServer server = startOkServer("x");
+    CompletableFuture<Void> served = new CompletableFuture<>();
+    String entry = readyEndpointJson("s-1", server.address());
+    String list = fullListJson(6, entry, readyEndpointJson("s-2", server.address()));
+    int length = list.indexOf(entry) + entry.length();
+    discovery =
+        startServer(
+            request -> {
+              request.respond(ScriptedServer.CHUNKED_RESPONSE_HEAD);
+              request.respond(ScriptedServer.chunk(list.substring(0, length)));
+              served.join();
+              request.respond(ScriptedServer.chunk(list.substring(length)));
+            });
+    awaitServed(startNode(configJson()));
+    served.complete(null);
+  }
 }
