--- a/src/main/java/merlinrouter/node/config/EndpointListParser.java
+++ b/src/main/java/merlinrouter/node/config/EndpointListParser.java
@@ -6,9 +6,8 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.async.ByteArrayFeeder;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.databind.util.TokenBuffer;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -38,8 +37,6 @@
                   .build())
           .build();
 
-  private static final ObjectMapper MAPPER = new ObjectMapper(FACTORY);
-
   /** Where the next token belongs to. */
   private enum Level {
     BETWEEN_LISTS,
@@ -63,11 +60,10 @@
 
   private String fieldName;
 
-  /** The tokens of a field's value or of an entry that is not whole yet; null between values. */
-  private TokenBuffer value;
+  /** The value of a field, or the entry, that is not whole yet. */
+  private final JsonValueBuilder value = new JsonValueBuilder();
 
   private int valueTokens;
-  private int valueDepth;
 
   /**
    * Creates a parser.
@@ -148,7 +144,7 @@
   }
 
   private void accept(JsonToken token) throws IOException, InvalidConfigException {
-    if (value != null) {
+    if (value.isInValue()) {
       continueValue(token);
     } else if (level == Level.BETWEEN_LISTS) {
       require(token == JsonToken.START_OBJECT);
@@ -165,7 +161,7 @@
 
   private void startList() {
     level = Level.LIST;
-    header = MAPPER.createObjectNode();
+    header = JsonNodeFactory.instance.objectNode();
     entries = null;
   }
 
@@ -187,33 +183,21 @@
   }
 
   private void startValue(JsonToken token) throws IOException, InvalidConfigException {
-    value = new TokenBuffer(MAPPER, false);
     valueTokens = 0;
-    valueDepth = 0;
     continueValue(token);
   }
 
   private void continueValue(JsonToken token) throws IOException, InvalidConfigException {
     valueTokens++;
     require(valueTokens <= MAX_VALUE_TOKENS);
-    value.copyCurrentEvent(parser);
-    if (token.isStructStart()) {
-      valueDepth++;
-    } else if (token.isStructEnd()) {
-      valueDepth--;
-    }
-    if (valueDepth == 0) {
-      finishValue();
+    JsonNode whole = value.add(parser, token);
+    if (whole == null) {
+      return;
     }
-  }
-
-  private void finishValue() throws IOException, InvalidConfigException {
-    JsonNode node = MAPPER.readTree(value.asParser());
-    value = null;
     if (level == Level.ENTRIES) {
-      entries.add(EndpointListReader.entry(node, names));
+      entries.add(EndpointListReader.entry(whole, names));
     } else {
-      header.set(fieldName, node);
+      header.set(fieldName, whole);
     }
   }
 
