--- a/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
+++ b/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
@@ -14,11 +14,15 @@
   /** Interval of the empty lines that are sent on a watch while nothing changes. */
   private static final long HEARTBEAT_MILLIS = 2_000;
 
+  /** How long a watch stays open after a list that was cut short without an end. */
+  private static final long SILENT_WATCH_MILLIS = 60_000;
+
   private record VersionedEntry(EndpointEntry entry, long revision) {}
 
   private final Map<String, VersionedEntry> entries = new LinkedHashMap<>();
   private long revision = 1;
   private boolean unresponsive;
+  private volatile ListDelivery listDelivery = ListDelivery.AT_ONCE;
 
   /** The full list at the moment when the server last became unresponsive. */
   private String lastSentList = "";
@@ -47,6 +51,11 @@
     notifyAll();
   }
 
+  /** Sets how the lists that are written from now on are delivered. */
+  public void setListDelivery(ListDelivery delivery) {
+    listDelivery = delivery;
+  }
+
   /**
    * Returns the latest full list, as JSON, that a node can have received: the current one or, while
    * the server is unresponsive, the one from before.
@@ -80,7 +89,7 @@
     }
   }
 
-  /** Sends changes, one line per chunk, until the watch's connection ends. */
+  /** Sends changes, one line each, until the watch's connection ends. */
   private void serveWatch(OutputStream out, long firstKnownRevision)
       throws IOException, InterruptedException {
     HttpMessage.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -91,11 +100,22 @@
         line = changesSince(knownRevision) + "\n";
         knownRevision = revision;
       }
-      HttpMessage.write(out, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+      ListDelivery delivery = listDelivery;
+      if (!delivery.write(out, line)) {
+        endWatch(delivery);
+        return;
+      }
       awaitChange(knownRevision);
     }
   }
 
+  private static void endWatch(ListDelivery delivery) throws InterruptedException {
+    if (!delivery.closes()) {
+      // The node closes the connection; this thread ends with the server.
+      Thread.sleep(SILENT_WATCH_MILLIS);
+    }
+  }
+
   /**
    * Returns the changes as JSON, or an empty string if there are none. The caller holds the lock.
    */
--- a/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
@@ -9,6 +9,7 @@
 import merlinrouter.emulator.fleet.NodeProcess.Signal;
 import merlinrouter.emulator.invariant.InvariantChecker;
 import merlinrouter.emulator.peer.FaultProxy.Condition;
+import merlinrouter.emulator.peer.ListDelivery;
 import merlinrouter.emulator.peer.UpstreamServer.Behavior;
 
 /**
@@ -25,6 +26,8 @@
   private static final int CALL_INTERVALS = 8;
   private static final int MAX_SHORT_CALL_BYTES = 50;
   private static final int MAX_CLOCK_STEP_SECONDS = 3_600;
+  private static final int MAX_LIST_PIECE_BYTES = 400;
+  private static final int MAX_LIST_PAUSE_MILLIS = 200;
   private static final int MIN_PAUSE_MILLIS = 100;
   private static final int PAUSE_RANGE_MILLIS = 50;
 
@@ -96,6 +99,8 @@
       case LINK_SLOW -> setCondition(upstream, Condition.DELAYED, fault);
       case DISCOVERY_SILENT -> interruptDiscovery(fault.durationMillis());
       case WATCHES_RESET -> fleet.discovery().resetConnections();
+      case LISTS_IN_PIECES -> setListDelivery(listInPieces(fault), fault);
+      case LISTS_CUT_SHORT -> setListDelivery(listCutShort(fault), fault);
       case COUNTER_SILENT -> {
         fleet.counter().setUnresponsive(true);
         timers.schedule(fault.durationMillis(), () -> fleet.counter().setUnresponsive(false));
@@ -152,6 +157,21 @@
     timers.schedule(fault.durationMillis(), () -> proxy.setCondition(Condition.NORMAL));
   }
 
+  private static ListDelivery listInPieces(ScheduledFault fault) {
+    int pieceBytes = 1 + fault.selector() % MAX_LIST_PIECE_BYTES;
+    return ListDelivery.inPieces(pieceBytes, Math.min(MAX_LIST_PAUSE_MILLIS, pieceBytes));
+  }
+
+  private static ListDelivery listCutShort(ScheduledFault fault) {
+    return ListDelivery.cutShort(fault.selector() % 2 == 0);
+  }
+
+  private void setListDelivery(ListDelivery delivery, ScheduledFault fault) {
+    fleet.discovery().setListDelivery(delivery);
+    timers.schedule(
+        fault.durationMillis(), () -> fleet.discovery().setListDelivery(ListDelivery.AT_ONCE));
+  }
+
   private static String describe(
       Fleet.Node node, SoakUpstreams.Upstream upstream, ScheduledFault fault) {
     return String.format(
--- a/emulator/src/main/java/merlinrouter/emulator/soak/FaultKind.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/FaultKind.java
@@ -59,7 +59,11 @@
   /**
    * Two thirds of the upstream servers start to drain at the same time, and as many new ones start.
    */
-  MOST_SERVERS_REPLACED;
+  MOST_SERVERS_REPLACED,
+  /** Discovery writes its lists in small pieces with pauses between them. */
+  LISTS_IN_PIECES,
+  /** Discovery writes a part of each list, then nothing more, or ends the watch. */
+  LISTS_CUT_SHORT;
 
   /**
    * Returns the kinds that are drawn unless the command line names others. A further kind would
@@ -67,7 +71,7 @@
    */
   static List<FaultKind> defaultKinds() {
     List<FaultKind> kinds = new ArrayList<>(List.of(values()));
-    kinds.remove(MOST_SERVERS_REPLACED);
+    kinds.removeAll(List.of(MOST_SERVERS_REPLACED, LISTS_IN_PIECES, LISTS_CUT_SHORT));
     return List.copyOf(kinds);
   }
 }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
@@ -82,7 +82,7 @@
       split = ",",
       description =
           "Inject only these kinds of fault: ${COMPLETION-CANDIDATES}"
-              + " (default: all but MOST_SERVERS_REPLACED).")
+              + " (default: all but MOST_SERVERS_REPLACED, LISTS_IN_PIECES and LISTS_CUT_SHORT).")
   private List<FaultKind> kinds = FaultKind.defaultKinds();
 
   @Option(
