Let the emulated discovery write its lists slowly enough to be longer than a drain's grace

A fault of the kind ended the delivery that a later one had set, and a list took at most 0.2 s per piece, so that also a node that gives up slow lists passed. Now 2 ms a byte, until the last such fault ends.

--- a/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
+++ b/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** Emulates discovery: serves the endpoint list and watches of its changes. */
 public final class DiscoveryServer extends LoopbackServer {
@@ -22,7 +23,8 @@
   private final Map<String, VersionedEntry> entries = new LinkedHashMap<>();
   private long revision = 1;
   private boolean unresponsive;
-  private volatile ListDelivery listDelivery = ListDelivery.AT_ONCE;
+  private final AtomicReference<ListDelivery> listDelivery =
+      new AtomicReference<>(ListDelivery.AT_ONCE);
 
   /** The full list at the moment when the server last became unresponsive. */
   private String lastSentList = "";
@@ -53,7 +55,12 @@
 
   /** Sets how the lists that are written from now on are delivered. */
   public void setListDelivery(ListDelivery delivery) {
-    listDelivery = delivery;
+    listDelivery.set(delivery);
+  }
+
+  /** Lets lists be delivered at once again, unless another delivery has been set meanwhile. */
+  public void resetListDelivery(ListDelivery previous) {
+    listDelivery.compareAndSet(previous, ListDelivery.AT_ONCE);
   }
 
   /**
@@ -100,7 +107,7 @@
         line = changesSince(knownRevision) + "\n";
         knownRevision = revision;
       }
-      ListDelivery delivery = listDelivery;
+      ListDelivery delivery = listDelivery.get();
       if (!delivery.write(out, line)) {
         endWatch(delivery);
         return;
--- a/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
@@ -26,8 +26,8 @@
   private static final int CALL_INTERVALS = 8;
   private static final int MAX_SHORT_CALL_BYTES = 50;
   private static final int MAX_CLOCK_STEP_SECONDS = 3_600;
-  private static final int MAX_LIST_PIECE_BYTES = 400;
-  private static final int MAX_LIST_PAUSE_MILLIS = 200;
+  private static final int MAX_LIST_PIECE_BYTES = 200;
+  private static final long MILLIS_PER_LIST_BYTE = 2;
   private static final int MIN_PAUSE_MILLIS = 100;
   private static final int PAUSE_RANGE_MILLIS = 50;
 
@@ -159,7 +159,7 @@
 
   private static ListDelivery listInPieces(ScheduledFault fault) {
     int pieceBytes = 1 + fault.selector() % MAX_LIST_PIECE_BYTES;
-    return ListDelivery.inPieces(pieceBytes, Math.min(MAX_LIST_PAUSE_MILLIS, pieceBytes));
+    return ListDelivery.inPieces(pieceBytes, MILLIS_PER_LIST_BYTE * pieceBytes);
   }
 
   private static ListDelivery listCutShort(ScheduledFault fault) {
@@ -168,8 +168,7 @@
 
   private void setListDelivery(ListDelivery delivery, ScheduledFault fault) {
     fleet.discovery().setListDelivery(delivery);
-    timers.schedule(
-        fault.durationMillis(), () -> fleet.discovery().setListDelivery(ListDelivery.AT_ONCE));
+    timers.schedule(fault.durationMillis(), () -> fleet.discovery().resetListDelivery(delivery));
   }
 
   private static String describe(
