--- a/src/main/java/merlinrouter/node/config/EndpointListParser.java
+++ b/src/main/java/merlinrouter/node/config/EndpointListParser.java
@@ -49,8 +49,12 @@
   private final ByteArrayFeeder feeder;
   private final List<EndpointList> completed = new ArrayList<>();
 
+  /** The value of a field, or the entry, that is not whole yet. */
+  private final JsonValueBuilder value = new JsonValueBuilder();
+
   private Level level = Level.BETWEEN_LISTS;
   private boolean betweenLists = true;
+  private boolean lastPartWhiteSpace = true;
 
   /** The fields of the current list, except its entries. */
   private ObjectNode header;
@@ -59,10 +63,6 @@
   private List<EndpointEntry> entries;
 
   private String fieldName;
-
-  /** The value of a field, or the entry, that is not whole yet. */
-  private final JsonValueBuilder value = new JsonValueBuilder();
-
   private int valueTokens;
 
   /**
@@ -98,7 +98,7 @@
         accept(token);
       }
     } catch (IOException e) {
-      throw new InvalidConfigException("the endpoint list is malformed or too long");
+      throw malformed();
     }
     updateBetweenLists(text);
     return List.copyOf(completed);
@@ -110,16 +110,21 @@
     while (last >= 0 && isWhiteSpace(text[last])) {
       last--;
     }
-    if (last >= 0) {
+    lastPartWhiteSpace = last < 0;
+    if (!lastPartWhiteSpace) {
       betweenLists = level == Level.BETWEEN_LISTS && text[last] == '}';
     }
   }
 
-  /** Returns whether a byte is white space between JSON tokens. */
-  public static boolean isWhiteSpace(byte character) {
+  private static boolean isWhiteSpace(byte character) {
     return character == ' ' || character == '\n' || character == '\r' || character == '\t';
   }
 
+  /** Returns whether the last part consisted of nothing but white space. */
+  public boolean isLastPartWhiteSpace() {
+    return lastPartWhiteSpace;
+  }
+
   /** Returns whether the text read so far consists of complete lists only. */
   public boolean isBetweenLists() {
     return betweenLists;
@@ -203,7 +208,11 @@
 
   private static void require(boolean condition) throws InvalidConfigException {
     if (!condition) {
-      throw new InvalidConfigException("the endpoint list is malformed or too long");
+      throw malformed();
     }
   }
+
+  private static InvalidConfigException malformed() {
+    return new InvalidConfigException("the endpoint list is malformed or too long");
+  }
 }
--- a/src/main/java/merlinrouter/node/discovery/EndpointListHandler.java
+++ b/src/main/java/merlinrouter/node/discovery/EndpointListHandler.java
@@ -56,15 +56,11 @@
     if (parser.isBetweenLists()) {
       client.upToDate(channel);
     } else {
-      client.listPartReceived(channel, isWhiteSpace(text));
+      client.listPartReceived(channel, parser.isLastPartWhiteSpace());
       scheduleEntryDelivery();
     }
   }
 
-  private static boolean isWhiteSpace(ByteBuf text) {
-    return text.forEachByte(EndpointListParser::isWhiteSpace) < 0;
-  }
-
   private void scheduleEntryDelivery() {
     if (entryTimer == null || entryTimer.isDone()) {
       entryTimer =
--- a/src/main/java/merlinrouter/node/discovery/WatchFailure.java
+++ b/src/main/java/merlinrouter/node/discovery/WatchFailure.java
@@ -1,28 +1,16 @@
 package merlinrouter.node.discovery;
 
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.DecoderException;
-import merlinrouter.node.config.InvalidConfigException;
 import merlinrouter.node.logging.ErrorLog;
 
 /** Closes a watch after an error. */
 final class WatchFailure {
   private WatchFailure() {}
 
-  /**
-   * Reports an error and closes the watch. The report of a decoding error omits the text that could
-   * not be decoded, which may be a megabyte long.
-   */
+  /** Reports an error and closes the watch; an error of a watch that is closed is not reported. */
   static void closeAfter(ChannelHandlerContext context, Throwable cause) {
     if (context.channel().isOpen()) {
-      boolean undecodable =
-          cause instanceof DecoderException
-              && !(cause.getCause() instanceof InvalidConfigException);
-      ErrorLog.report(
-          "discovery",
-          undecodable
-              ? new InvalidConfigException("the endpoint list is malformed or too long")
-              : cause);
+      ErrorLog.report("discovery", cause);
     }
     context.close();
   }
