Show that a watch keeps an outage's timeout after it was answered

After an outage of 5 s the next watch delivers a list and falls silent: it is still open after 6 s where the outage gave no bytes or half a list, and is replaced in time where it gave heads alone or resets. That is hypothesis 1: only an unanswered watch, or one with an incomplete list, doubles the timeout that the next watch is created with, and that watch keeps it.

--- /dev/null
+++ b/src/test/java/merlinrouter/node/DiscoveryOutageSeriesTest.java
@@ -0,0 +1,109 @@
+package merlinrouter.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Outages of discovery in series: what the node has adapted to during the first one must not delay
+ * how it notices the second one. Durations are compared with timers on the node's own event loop.
+ */
+@Timeout(120)
+class DiscoveryOutageSeriesTest extends NodeFixture {
+  /** Longer than any time that a watch is given before the node adapts to an outage. */
+  private static final long OUTAGE_SECONDS = 5;
+
+  /** Changes that a silent watch misses count as delivered after this time. */
+  private static final long MAX_SILENCE_SECONDS = 6;
+
+  private static final String HALF_A_LIST =
+      "{\"revision\":6,\"complete\":false,\"members\":[{\"id\":\"s-";
+
+  /** What the node receives on a watch during an outage. */
+  private enum Outage {
+    NO_BYTES,
+    HEAD_ALONE,
+    HALF_A_LIST,
+    RESET;
+
+    private void respond(ScriptedServer.Message watch) throws IOException {
+      switch (this) {
+        case HEAD_ALONE -> watch.respond(ScriptedServer.CHUNKED_RESPONSE_HEAD);
+        case HALF_A_LIST ->
+            watch.respond(
+                ScriptedServer.CHUNKED_RESPONSE_HEAD
+                    + ScriptedServer.chunk(DiscoveryOutageSeriesTest.HALF_A_LIST));
+        case RESET -> {
+          watch.connection().setSoLinger(true, 0);
+          watch.connection().close();
+        }
+        default -> {
+          // Nothing is sent.
+        }
+      }
+    }
+  }
+
+  /**
+   * Starts discovery whose watches get what {@code outage} says until it has ended, and after that
+   * one list or line and nothing more.
+   */
+  private ScriptedServer startDiscovery(
+      Outage outage, AtomicBoolean outageEnded, AtomicReference<String> firstResponse)
+      throws IOException {
+    return startServer(
+        watch -> {
+          if (outageEnded.get()) {
+            watch.respond(firstResponse.get());
+          } else {
+            outage.respond(watch);
+          }
+        });
+  }
+
+  private static void waitOnLoop(EdgeNode node, long seconds) throws Exception {
+    node.loop().schedule(() -> {}, seconds, TimeUnit.SECONDS).get();
+  }
+
+  private static int totalWatchCount(EdgeNode node) throws Exception {
+    return node.loop().submit(() -> node.discovery().totalWatchCount()).get();
+  }
+
+  /** Asserts that the only open watch, which has fallen silent by now, is replaced in time. */
+  private static void assertSilentWatchIsReplaced(EdgeNode node) throws Exception {
+    int openedBefore = totalWatchCount(node);
+    assertTrue(
+        node.loop()
+            .schedule(
+                () -> node.discovery().totalWatchCount() > openedBefore,
+                MAX_SILENCE_SECONDS,
+                TimeUnit.SECONDS)
+            .get(),
+        "the silent watch was not replaced within " + MAX_SILENCE_SECONDS + " s");
+  }
+
+  /**
+   * Guards against report 4e79c6: drains took effect up to 24 s late on a watch that fell silent.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void aWatchThatFallsSilentSoonAfterAnOutageIsReplacedInTime(Outage outage) throws Exception {
+    ScriptedServer server = startOkServer("x");
+    AtomicBoolean outageEnded = new AtomicBoolean();
+    AtomicReference<String> list =
+        new AtomicReference<>(
+            watchResponse(updateJson(6, readyEndpointJson("s-1", server.address()))));
+    discovery = startDiscovery(outage, outageEnded, list);
+    EdgeNode node = startNode(configJson());
+    waitOnLoop(node, OUTAGE_SECONDS);
+    outageEnded.set(true);
+    awaitServed(node);
+    assertSilentWatchIsReplaced(node);
+  }
+}
