Close an answered watch after 3 s of silence, however long the outage before it was

Cause: a watch that awaits a response for 3 s doubles the time for the next ones, up to 24 s (4 s of outage are enough, since three are open by then). That time is meant for a watch that is unanswered or has an incomplete list, beside which others are opened. Watch used it as the watch's only timeout, also between lists, where no other watch is opened: upToDate() set the 3 s only after an incomplete list.

Each state now starts its own timeout. The six cases pass, and SlowDiscoveryTest, DiscoveryWatchTest and ReloadTest as before.

--- a/src/main/java/merlinrouter/node/discovery/Watch.java
+++ b/src/main/java/merlinrouter/node/discovery/Watch.java
@@ -27,22 +27,27 @@
   private final Channel channel;
   private final Runnable timeoutListener;
   private final ProgressTimeout timeout;
+
+  /** Time without progress after which a pending watch is closed. */
+  private final long pendingTimeoutNanos;
+
   private State state = State.UNANSWERED;
 
   /**
    * Creates the state of a watch that is being opened.
    *
    * @param channel the connection, not necessarily established
-   * @param timeoutMillis time without progress after which the watch is closed, until its first
-   *     list is complete
+   * @param pendingTimeoutMillis time without progress after which the watch is closed while it
+   *     awaits a response or the rest of a list
    * @param timeoutListener invoked before the watch is closed while it awaits a response or the
    *     rest of a list
    */
-  Watch(Channel channel, long timeoutMillis, Runnable timeoutListener) {
+  Watch(Channel channel, long pendingTimeoutMillis, Runnable timeoutListener) {
     this.channel = channel;
     this.timeoutListener = timeoutListener;
+    pendingTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(pendingTimeoutMillis);
     timeout = new ProgressTimeout(channel.eventLoop(), this::timedOut);
-    timeout.start(TimeUnit.MILLISECONDS.toNanos(timeoutMillis));
+    timeout.start(pendingTimeoutNanos);
   }
 
   private void timedOut() {
@@ -76,14 +81,15 @@
 
   /** Handles the start of the response. */
   void responseStarted() {
-    state = State.BETWEEN_LISTS;
-    timeout.progressed();
+    enterBetweenLists();
   }
 
   /** Handles a part of an incomplete list; white space may go on for ever and is no progress. */
   void listPartReceived(boolean whiteSpaceOnly) {
-    state = State.LIST_INCOMPLETE;
-    if (!whiteSpaceOnly) {
+    if (!isListIncomplete()) {
+      state = State.LIST_INCOMPLETE;
+      timeout.start(pendingTimeoutNanos);
+    } else if (!whiteSpaceOnly) {
       timeout.progressed();
     }
   }
@@ -91,13 +97,18 @@
   /** Handles a part of the response that leaves no list incomplete. */
   void upToDate() {
     if (isListIncomplete()) {
-      state = State.BETWEEN_LISTS;
-      timeout.start(TimeUnit.MILLISECONDS.toNanos(MAX_SILENCE_MILLIS));
+      enterBetweenLists();
     } else {
       timeout.progressed();
     }
   }
 
+  /** Starts the timeout of an answered watch, however long the response took. */
+  private void enterBetweenLists() {
+    state = State.BETWEEN_LISTS;
+    timeout.start(TimeUnit.MILLISECONDS.toNanos(MAX_SILENCE_MILLIS));
+  }
+
   /** Stops the timeout of a watch that is not read any more. */
   void stopTimeout() {
     timeout.stop();
--- a/src/test/java/merlinrouter/node/DiscoveryOutageSeriesTest.java
+++ b/src/test/java/merlinrouter/node/DiscoveryOutageSeriesTest.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import merlinrouter.node.config.NodeConfigReader;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -106,4 +108,37 @@
     awaitServed(node);
     assertSilentWatchIsReplaced(node);
   }
+
+  /** As above, but nothing has changed during the outage, so that no list is delivered. */
+  @Test
+  void anUnchangedListAfterAnOutageLeavesNoLongerTimeForSilence() throws Exception {
+    AtomicBoolean outageEnded = new AtomicBoolean();
+    discovery = startDiscovery(Outage.NO_BYTES, outageEnded, new AtomicReference<>(UNCHANGED_LIST));
+    EdgeNode node = startNode(configJson());
+    waitOnLoop(node, OUTAGE_SECONDS);
+    outageEnded.set(true);
+    while (node.loop().submit(() -> node.discovery().openWatchCount()).get() != 1) {
+      Thread.sleep(1);
+    }
+    assertSilentWatchIsReplaced(node);
+  }
+
+  /** What was learned about one address says nothing about another one. */
+  @Test
+  void aSilentWatchAtANewAddressIsReplacedInTimeAfterAnOutageAtThePreviousOne() throws Exception {
+    ScriptedServer server = startOkServer("x");
+    discovery = startServer(watch -> {});
+    String config = configJson();
+    EdgeNode node = startNode(config);
+    waitOnLoop(node, OUTAGE_SECONDS);
+    ScriptedServer newDiscovery =
+        startServer(
+            watch ->
+                watch.respond(
+                    watchResponse(updateJson(6, readyEndpointJson("s-1", server.address())))));
+    node.reload(
+        NodeConfigReader.parse(config.replace(discovery.address(), newDiscovery.address())));
+    awaitServed(node);
+    assertSilentWatchIsReplaced(node);
+  }
 }
