Keep the watches of an outage from taking the places of those that are answered

A watch opened late in an outage kept 24 s, and three of these were retained of six; each other one was closed after 1.5 s. After an outage of 10 s discovery that needs 2 s for a response was not heard within 6 s of its return, by DiscoveryOutageSeriesTest.aListIsAppliedInTimeThoughResponsesTakeSecondsAfterAnOutage, which failed before.

No time is learned any more: a pending watch may take 24 s from the start, as others are opened beside it anyway. Of twelve watches the three oldest are retained, and of the others the one longest without progress makes room, so that each has 4.5 s (9 s where lists are polled). The 12 descriptors are of the eighth of them that clients and endpoints leave over, 128 of 1,024. The tests of slow and silent discovery pass.

--- a/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
+++ b/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,16 +32,14 @@
  */
 public final class DiscoveryClient {
   /** Maximum number of watches that are open or being opened. */
-  private static final int MAX_OPEN_WATCHES = 6;
+  private static final int MAX_OPEN_WATCHES = 12;
 
   /**
    * At the maximum, the oldest watches stay open, in case that discovery needs long. The others are
-   * replaced one after another, in case that it does not respond on connections of before.
+   * replaced one after another, in case that it does not respond on connections of before; each is
+   * open for at least as many hedging delays as there are others.
    */
-  private static final int MAX_RETAINED_WATCHES = MAX_OPEN_WATCHES / 2;
-
-  /** Maximum time for which a watch waits for a response or for a further part of a list. */
-  private static final long MAX_RESPONSE_TIMEOUT_MILLIS = 8 * Watch.MAX_SILENCE_MILLIS;
+  private static final int MAX_RETAINED_WATCHES = 3;
 
   private static final long INITIAL_BACKOFF_MILLIS = 100;
 
@@ -60,7 +59,6 @@
   private Future<?> nextWatch;
   private EndpointListMerger merger;
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
-  private long responseTimeoutMillis = Watch.MAX_SILENCE_MILLIS;
   private boolean ready;
   private int totalWatches;
 
@@ -142,7 +140,7 @@
 
   private void openWatch() {
     if (watches.size() >= MAX_OPEN_WATCHES) {
-      watches.values().stream().skip(MAX_RETAINED_WATCHES).findFirst().ifPresent(this::close);
+      closeLeastProgressed();
     }
     ChannelFuture connecting = bootstrap.connect(address);
     if (!Transport.hasChannel(connecting)) {
@@ -151,17 +149,18 @@
       return;
     }
     Channel channel = connecting.channel();
-    watches.put(channel, new Watch(channel, responseTimeoutMillis, this::extendResponseTimeout));
+    watches.put(channel, new Watch(channel));
     totalWatches++;
     channel.closeFuture().addListener(closed -> watchEnded(channel));
     scheduleWatch(timeouts.hedgingDelayMillis());
   }
 
-  /**
-   * Discovery may be slower than the timeout allows; with a fixed one no list would ever arrive.
-   */
-  private void extendResponseTimeout() {
-    responseTimeoutMillis = Math.min(MAX_RESPONSE_TIMEOUT_MILLIS, 2 * responseTimeoutMillis);
+  /** Makes room for another watch. */
+  private void closeLeastProgressed() {
+    watches.values().stream()
+        .skip(MAX_RETAINED_WATCHES)
+        .max(Comparator.comparingLong(Watch::nanosWithoutProgress))
+        .ifPresent(this::close);
   }
 
   private void scheduleWatch(long delayMillis) {
@@ -281,6 +280,5 @@
         merged, merged.complete() ? EndpointUpdateType.FULL : EndpointUpdateType.DELTA);
     ready = true;
     backoffMillis = INITIAL_BACKOFF_MILLIS;
-    responseTimeoutMillis = Watch.MAX_SILENCE_MILLIS;
   }
 }
--- a/src/main/java/merlinrouter/node/discovery/Watch.java
+++ b/src/main/java/merlinrouter/node/discovery/Watch.java
@@ -16,7 +16,13 @@
    * Discovery writes to a watch at least every 2 s. A node is considered notified of the changes
    * that a silent watch missed 6 s after the silence began.
    */
-  static final long MAX_SILENCE_MILLIS = 3_000;
+  private static final long MAX_SILENCE_MILLIS = 3_000;
+
+  /**
+   * Time without progress after which a watch is closed while it awaits a response or the rest of a
+   * list. Other watches are opened beside it meanwhile.
+   */
+  private static final long MAX_PENDING_MILLIS = 24_000;
 
   private enum State {
     UNANSWERED,
@@ -25,29 +31,18 @@
   }
 
   private final Channel channel;
-  private final Runnable timeoutListener;
   private final ProgressTimeout timeout;
-
-  /** Time without progress after which a pending watch is closed. */
-  private final long pendingTimeoutNanos;
-
   private State state = State.UNANSWERED;
 
   /**
    * Creates the state of a watch that is being opened.
    *
    * @param channel the connection, not necessarily established
-   * @param pendingTimeoutMillis time without progress after which the watch is closed while it
-   *     awaits a response or the rest of a list
-   * @param timeoutListener invoked before the watch is closed while it awaits a response or the
-   *     rest of a list
    */
-  Watch(Channel channel, long pendingTimeoutMillis, Runnable timeoutListener) {
+  Watch(Channel channel) {
     this.channel = channel;
-    this.timeoutListener = timeoutListener;
-    pendingTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(pendingTimeoutMillis);
     timeout = new ProgressTimeout(channel.eventLoop(), this::timedOut);
-    timeout.start(pendingTimeoutNanos);
+    timeout.start(TimeUnit.MILLISECONDS.toNanos(MAX_PENDING_MILLIS));
   }
 
   private void timedOut() {
@@ -56,9 +51,6 @@
           "discovery",
           new InvalidConfigException("the rest of an incomplete endpoint list did not arrive"));
     }
-    if (isPending()) {
-      timeoutListener.run();
-    }
     channel.close();
   }
 
@@ -79,6 +71,11 @@
     return state != State.BETWEEN_LISTS;
   }
 
+  /** Returns how long nothing that counts as progress has been received, or the watch is open. */
+  long nanosWithoutProgress() {
+    return System.nanoTime() - timeout.lastProgressNanos();
+  }
+
   /** Handles the start of the response. */
   void responseStarted() {
     enterBetweenLists();
@@ -88,7 +85,7 @@
   void listPartReceived(boolean whiteSpaceOnly) {
     if (!isListIncomplete()) {
       state = State.LIST_INCOMPLETE;
-      timeout.start(pendingTimeoutNanos);
+      timeout.start(TimeUnit.MILLISECONDS.toNanos(MAX_PENDING_MILLIS));
     } else if (!whiteSpaceOnly) {
       timeout.progressed();
     }
--- a/src/main/java/merlinrouter/node/transport/ProgressTimeout.java
+++ b/src/main/java/merlinrouter/node/transport/ProgressTimeout.java
@@ -40,6 +40,11 @@
     lastProgressNanos = System.nanoTime();
   }
 
+  /** Returns the {@link System#nanoTime} of the last progress or start, also after a stop. */
+  public long lastProgressNanos() {
+    return lastProgressNanos;
+  }
+
   /** Stops the timeout. */
   public void stop() {
     if (timer != null) {
--- a/src/test/java/merlinrouter/node/DiscoveryOutageSeriesTest.java
+++ b/src/test/java/merlinrouter/node/DiscoveryOutageSeriesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -24,6 +25,12 @@
   /** Changes that a silent watch misses count as delivered after this time. */
   private static final long MAX_SILENCE_SECONDS = 6;
 
+  /** Long enough that the retained watches are those that are kept longest. */
+  private static final long LONG_OUTAGE_SECONDS = 10;
+
+  /** Longer than the time that a watch was given once the maximum number was open. */
+  private static final long SLOW_RESPONSE_SECONDS = 2;
+
   private static final String HALF_A_LIST =
       "{\"revision\":6,\"complete\":false,\"members\":[{\"id\":\"s-";
 
@@ -141,4 +148,49 @@
     awaitServed(node);
     assertSilentWatchIsReplaced(node);
   }
+
+  /**
+   * The watches of the outage, which never get a response, held the places of those that would have
+   * got one.
+   */
+  @Test
+  void aListIsAppliedInTimeThoughResponsesTakeSecondsAfterAnOutage() throws Exception {
+    ScriptedServer server = startOkServer("x");
+    String list = watchResponse(updateJson(6, readyEndpointJson("s-1", server.address())));
+    CompletableFuture<EdgeNode> recovered = new CompletableFuture<>();
+    discovery =
+        startServer(
+            watch -> {
+              if (recovered.isDone()) {
+                recovered
+                    .join()
+                    .loop()
+                    .schedule(
+                        () -> {
+                          watch.respond(list);
+                          return null;
+                        },
+                        SLOW_RESPONSE_SECONDS,
+                        TimeUnit.SECONDS);
+              }
+            });
+    EdgeNode node = startNode(configJson());
+    waitOnLoop(node, LONG_OUTAGE_SECONDS);
+    recovered.complete(node);
+    // The first watch that delivers a list closes all others.
+    CompletableFuture<Void> received = new CompletableFuture<>();
+    node.loop()
+        .scheduleAtFixedRate(
+            () -> {
+              if (node.discovery().openWatchCount() == 1) {
+                received.complete(null);
+              }
+            },
+            0,
+            1,
+            TimeUnit.MILLISECONDS);
+    assertTrue(
+        node.loop().schedule(received::isDone, MAX_SILENCE_SECONDS, TimeUnit.SECONDS).get(),
+        "the list was not received within " + MAX_SILENCE_SECONDS + " s");
+  }
 }
