Replace a counter connection without a response as soon after a long outage as a short one

A connection without any response was closed after 10 call timeouts, and after each such close the next one got double, up to 160, which a shard kept until its next response: also when the counter was back, and for another address. Test: CounterClientTest.aConnectionOfAnOutageIsReplacedAsSoonAfterALongOneAsAfterAShortOne failed before: after an outage of 170 calls another 137 timed out on a connection of the outage, though the counter answered on new ones.

No time is learned any more. After 10 timeouts another connection is used, and the oldest one without a response is kept beside it for 160, so that a counter whose first response takes long is still heard; it is used again as soon as it responds. The test passes with its bound of 20 calls.

--- a/src/main/java/merlinrouter/node/counter/CounterConnection.java
+++ b/src/main/java/merlinrouter/node/counter/CounterConnection.java
@@ -103,19 +103,19 @@
   /**
    * Handles the timeout of a call. Closes the connection if the call has not been written (it must
    * not be written later), or if nothing has been read for so long that the connection is assumed
-   * dead or the rest of a response lost. A counter that is merely slow goes on to respond.
+   * dead or the rest of a response lost. A counter that is merely slow goes on to respond; before
+   * its first response another connection is used beside this one.
    */
   void callTimedOut(CounterCall call) {
     long silentNanos = System.nanoTime() - lastReadNanos;
     CounterCall oldest = pending.peek();
-    boolean assumedDead =
+    boolean unresponsive =
         oldest != null && Math.min(silentNanos, oldest.ageNanos()) > shard.maxResponseDelayNanos();
     boolean responseCutShort = !decoder.isBetweenResponses() && silentNanos > callTimeoutNanos;
-    if (assumedDead && !responded) {
-      shard.extendMaxResponseDelay();
-    }
-    if (!call.isWritten() || assumedDead || responseCutShort) {
+    if (!call.isWritten() || responseCutShort || unresponsive && responded) {
       close();
+    } else if (unresponsive && shard.isCurrent(this)) {
+      shard.replaceUnanswered(this);
     } else {
       closeIfReplacedAndDone();
     }
@@ -127,10 +127,15 @@
     context.fireChannelReadComplete();
   }
 
+  /** Returns whether a response has been received on this connection. */
+  boolean hasResponded() {
+    return responded;
+  }
+
   /** Closes the connection if another one has replaced it and no call is open on it. */
   void closeIfReplacedAndDone() {
     boolean done = pending.isEmpty() || pending.peekLast().isEnded();
-    if (!shard.isCurrent(this) && done) {
+    if (!shard.isUsed(this) && done) {
       close();
       shard.writeWaiting();
     }
@@ -160,11 +165,11 @@
   @Override
   protected void responseReceived(HttpResponse head, ByteBuf body) {
     responded = true;
-    shard.resetMaxResponseDelay();
     CounterCall call = pending.poll();
     CounterResponse response = CounterResponse.of(head, body);
     call.end(response.outcome(), response.total());
     if (response.connectionUsable()) {
+      shard.responseReceived(this);
       closeIfReplacedAndDone();
     } else {
       close();
--- a/src/main/java/merlinrouter/node/counter/CounterShard.java
+++ b/src/main/java/merlinrouter/node/counter/CounterShard.java
@@ -13,10 +13,14 @@
 final class CounterShard {
   private static final int MAX_OPEN_CALLS = 256;
 
-  /** A connection is assumed dead if nothing is received on it for this many call timeouts. */
-  private static final int MIN_TIMEOUTS_WITHOUT_RESPONSE = 10;
+  /** A connection is replaced if nothing is received on it for this many call timeouts. */
+  private static final int MAX_TIMEOUTS_WITHOUT_RESPONSE = 10;
 
-  private static final int MAX_TIMEOUTS_WITHOUT_RESPONSE = 16 * MIN_TIMEOUTS_WITHOUT_RESPONSE;
+  /**
+   * A replaced connection on which there was no response yet stays open for this many call
+   * timeouts, in case that the counter needs long for its first one.
+   */
+  private static final int RETAINED_TIMEOUTS = 16 * MAX_TIMEOUTS_WITHOUT_RESPONSE;
 
   private final EventLoop loop;
   private final long callTimeoutNanos;
@@ -25,10 +29,14 @@
   /** Calls that have not been passed to a connection yet. */
   private final ArrayDeque<CounterCall> waiting = new ArrayDeque<>();
 
+  /** The connection that calls are written to; null until the next call needs one. */
   private CounterConnection connection;
+
+  /** A replaced connection that may still get its first response; null if there is none. */
+  private CounterConnection retained;
+
   private CounterCall lastWritten;
   private boolean writeScheduled;
-  private int timeoutsWithoutResponse = MIN_TIMEOUTS_WITHOUT_RESPONSE;
 
   CounterShard(
       EventLoop loop, long callTimeoutNanos, Function<CounterShard, CounterConnection> connector) {
@@ -70,26 +78,59 @@
     }
   }
 
-  /** Returns the time without a response after which a connection is assumed dead. */
+  /** Returns the time without a response after which a connection is replaced. */
   long maxResponseDelayNanos() {
-    return timeoutsWithoutResponse * callTimeoutNanos;
+    return MAX_TIMEOUTS_WITHOUT_RESPONSE * callTimeoutNanos;
   }
 
   /**
-   * Handles a connection on which nothing was received in time: the counter may be slower than
-   * that, and no connection would ever last until its first response.
+   * Replaces the current connection, on which there was no response yet. Of all such connections
+   * the oldest is retained: the counter may take longer than the others are given.
    */
-  void extendMaxResponseDelay() {
-    timeoutsWithoutResponse = Math.min(MAX_TIMEOUTS_WITHOUT_RESPONSE, 2 * timeoutsWithoutResponse);
+  void replaceUnanswered(CounterConnection unanswered) {
+    if (retained != null) {
+      unanswered.close();
+      return;
+    }
+    retained = unanswered;
+    connection = null;
+    loop.schedule(
+        () -> releaseRetained(unanswered),
+        RETAINED_TIMEOUTS * callTimeoutNanos,
+        TimeUnit.NANOSECONDS);
+    if (!waiting.isEmpty()) {
+      connection = connector.apply(this);
+    }
+  }
+
+  private void releaseRetained(CounterConnection released) {
+    if (retained == released) {
+      retained = null;
+      released.closeIfReplacedAndDone();
+    }
   }
 
-  /** Handles a response. */
-  void resetMaxResponseDelay() {
-    timeoutsWithoutResponse = MIN_TIMEOUTS_WITHOUT_RESPONSE;
+  /** Handles a response: a retained connection is used again unless the current one responds. */
+  void responseReceived(CounterConnection responding) {
+    if (retained == null) {
+      return;
+    }
+    CounterConnection replaced = retained;
+    if (responding == retained && (connection == null || !connection.hasResponded())) {
+      replaced = connection;
+      connection = responding;
+    }
+    retained = null;
+    if (replaced != null) {
+      replaced.closeIfReplacedAndDone();
+    }
   }
 
   /** Replaces the connection; the previous one stays open for the calls written to it. */
   void reconnect() {
+    if (retained != null) {
+      releaseRetained(retained);
+    }
     if (connection != null) {
       CounterConnection replaced = connection;
       connection = connector.apply(this);
@@ -116,15 +157,24 @@
     return call != null && !call.isEnded() && call.connection() != connection;
   }
 
+  /** Returns whether calls are written to a connection. */
   boolean isCurrent(CounterConnection candidate) {
     return connection == candidate;
   }
 
+  /** Returns whether calls are written to a connection, or may be once it responds. */
+  boolean isUsed(CounterConnection candidate) {
+    return isCurrent(candidate) || candidate == retained;
+  }
+
   /** Stops the use of a connection that is about to end its calls. */
   void detach(CounterConnection closing) {
     if (connection == closing) {
       connection = null;
     }
+    if (retained == closing) {
+      retained = null;
+    }
   }
 
   /**
--- a/src/test/java/merlinrouter/node/CounterClientTest.java
+++ b/src/test/java/merlinrouter/node/CounterClientTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import merlinrouter.node.config.NodeConfig;
 import merlinrouter.node.config.NodeConfigReader;
 import merlinrouter.node.counter.CounterClient;
@@ -32,6 +33,12 @@
   private static final long CALL_TIMEOUT_NANOS = 2_000_000_000L;
   private static final long SHORT_CALL_TIMEOUT_NANOS = 60_000_000L;
 
+  /** One after another, each until its timeout. */
+  private static final int CALLS_OF_A_LONG_OUTAGE = 170;
+
+  /** Twice the number of timeouts after which a connection without a response is replaced. */
+  private static final int MAX_CALLS_UNTIL_REPLACED = 20;
+
   private final BlockingQueue<String> results = new LinkedBlockingQueue<>();
   private final Set<Socket> connectionsWithResponse = ConcurrentHashMap.newKeySet();
   private EventLoop loop;
@@ -215,4 +222,38 @@
       result = results.take();
     }
   }
+
+  /**
+   * A connection opened late in an outage was kept for as long as the outage had taught, although
+   * the counter would have answered on another one.
+   */
+  @Test
+  void aConnectionOfAnOutageIsReplacedAsSoonAfterALongOneAsAfterAShortOne() throws Exception {
+    AtomicBoolean outageEnded = new AtomicBoolean();
+    Set<Socket> connectionsOfOutage = ConcurrentHashMap.newKeySet();
+    counterScript =
+        request -> {
+          if (!outageEnded.get()) {
+            connectionsOfOutage.add(request.connection());
+          }
+          if (!connectionsOfOutage.contains(request.connection())) {
+            request.respond(ScriptedServer.okResponse("", "88"));
+          }
+        };
+    client = newClient(configWithCounter(counter, SHORT_CALL_TIMEOUT_NANOS));
+    for (int i = 0; i < CALLS_OF_A_LONG_OUTAGE; i++) {
+      add(4, 1);
+      assertNextResult("4 TIMEOUT 0.0");
+    }
+    outageEnded.set(true);
+    String result = "";
+    int calls = 0;
+    while (!result.equals("4 OK 88.0")) {
+      calls++;
+      add(4, 1);
+      result = results.take();
+    }
+    assertTrue(
+        calls <= MAX_CALLS_UNTIL_REPLACED, calls + " calls until the connection was replaced");
+  }
 }
