Replace a counter connection whose responses have all been late for 40 call timeouts

From then on each response was assigned to an earlier call, all calls timed out, and the connection stayed, since bytes went on to arrive. Test: CounterClientTest.aConnectionThatHasLostResponsesIsReplaced failed before (no total in 80 calls after five lost responses). A counter that is slower than the timeout loses nothing by it: no total arrives in time on the new connection either.

--- a/src/main/java/merlinrouter/node/counter/CounterConnection.java
+++ b/src/main/java/merlinrouter/node/counter/CounterConnection.java
@@ -26,6 +26,12 @@
 final class CounterConnection extends ResponseHandler {
   private static final int MAX_RESPONSE_BYTES = 1024;
 
+  /**
+   * The connection is closed if all responses have been late for this many call timeouts. Those to
+   * some earlier calls may be lost, and each later one is then assigned to an earlier call.
+   */
+  private static final int MAX_TIMEOUTS_WITH_LATE_RESPONSES = 40;
+
   private final CounterShard shard;
   private final long callTimeoutNanos;
   private final ResponseDecoder decoder = new ResponseDecoder();
@@ -35,6 +41,11 @@
   private final ArrayDeque<CounterCall> pending = new ArrayDeque<>();
 
   private long lastReadNanos = System.nanoTime();
+
+  /** When the first response after the last one in time was received. */
+  private long lateSinceNanos;
+
+  private boolean late;
   private boolean responded;
   private boolean connected;
   private boolean closed;
@@ -166,9 +177,10 @@
   protected void responseReceived(HttpResponse head, ByteBuf body) {
     responded = true;
     CounterCall call = pending.poll();
+    boolean lateForLong = observeLateness(call);
     CounterResponse response = CounterResponse.of(head, body);
     call.end(response.outcome(), response.total());
-    if (response.connectionUsable()) {
+    if (response.connectionUsable() && !lateForLong) {
       shard.responseReceived(this);
       closeIfReplacedAndDone();
     } else {
@@ -176,6 +188,18 @@
     }
   }
 
+  /** Returns whether all responses have been late for long, including the one to this call. */
+  private boolean observeLateness(CounterCall call) {
+    if (!call.isEnded()) {
+      late = false;
+    } else if (!late) {
+      late = true;
+      lateSinceNanos = System.nanoTime();
+    }
+    return late
+        && System.nanoTime() - lateSinceNanos > MAX_TIMEOUTS_WITH_LATE_RESPONSES * callTimeoutNanos;
+  }
+
   @Override
   protected void connectionFailed() {
     close();
--- a/src/test/java/merlinrouter/node/CounterClientTest.java
+++ b/src/test/java/merlinrouter/node/CounterClientTest.java
@@ -39,6 +39,12 @@
   /** Twice the number of timeouts after which a connection without a response is replaced. */
   private static final int MAX_CALLS_UNTIL_REPLACED = 20;
 
+  /** Too few for a connection to be replaced for its silence. */
+  private static final int LOST_RESPONSES = 5;
+
+  /** Twice the number of timeouts after which a connection with late responses is replaced. */
+  private static final int MAX_CALLS_WITH_LOST_RESPONSES = 80;
+
   private final BlockingQueue<String> results = new LinkedBlockingQueue<>();
   private final Set<Socket> connectionsWithResponse = ConcurrentHashMap.newKeySet();
   private EventLoop loop;
@@ -256,4 +262,27 @@
     assertTrue(
         calls <= MAX_CALLS_UNTIL_REPLACED, calls + " calls until the connection was replaced");
   }
+
+  /**
+   * Without responses to a few calls, each later response was taken for that to an earlier call,
+   * and all calls timed out as long as the connection lasted.
+   */
+  @Test
+  void aConnectionThatHasLostResponsesIsReplaced() throws Exception {
+    counterScript =
+        request -> {
+          if (counter.received.size() > LOST_RESPONSES) {
+            request.respond(ScriptedServer.okResponse("", "88"));
+          }
+        };
+    client = newClient(configWithCounter(counter, SHORT_CALL_TIMEOUT_NANOS));
+    String result = "";
+    int calls = 0;
+    while (!result.equals("4 OK 88.0")) {
+      calls++;
+      add(4, 1);
+      result = results.take();
+      assertTrue(calls <= MAX_CALLS_WITH_LOST_RESPONSES, "the connection was not replaced");
+    }
+  }
 }
