--- a/emulator/src/main/java/merlinrouter/emulator/fleet/LoopbackPorts.java
+++ b/emulator/src/main/java/merlinrouter/emulator/fleet/LoopbackPorts.java
@@ -18,13 +18,17 @@
   /** Number of possible first ports of a search; concurrent emulators start at different ones. */
   private static final int START_PORTS = 10_000;
 
+  /** Keeps emulators with successive process ids far apart; coprime to the number of ports. */
+  private static final int PROCESS_ID_STRIDE = 6_181;
+
   private static final Set<Integer> RESERVED = new HashSet<>();
 
   private LoopbackPorts() {}
 
   /** Returns a free port that was not returned before. */
   static synchronized int reserve() throws IOException {
-    int first = FIRST_PORT + (int) (ProcessHandle.current().pid() % START_PORTS);
+    int first =
+        FIRST_PORT + (int) (ProcessHandle.current().pid() * PROCESS_ID_STRIDE % START_PORTS);
     for (int port = first; port <= LAST_PORT; port++) {
       if (!RESERVED.contains(port) && isFree(port)) {
         RESERVED.add(port);
