Let the soak inject outages of discovery in series and judge how late drains take effect

Connections of an outage stay silent after it. How late the last attempt reached a draining server is printed; over 7.05 s it is a violation as before.

--- a/emulator/src/main/java/merlinrouter/emulator/invariant/InvariantChecker.java
+++ b/emulator/src/main/java/merlinrouter/emulator/invariant/InvariantChecker.java
@@ -237,6 +237,27 @@
     }
   }
 
+  /** Returns how late drains took effect for some requests. */
+  public DrainDelay drainDelay(Iterable<RequestRecord> requests) {
+    long maxDelayNanos = 0;
+    String endpointId = "";
+    for (RequestRecord request : requests) {
+      for (Attempt attempt : request.attempts()) {
+        Long publishedAtNanos = drainingPublishedAtNanos.get(attempt.endpointId());
+        if (publishedAtNanos != null
+            && attempt.receivedAtNanos() - publishedAtNanos > maxDelayNanos) {
+          maxDelayNanos = attempt.receivedAtNanos() - publishedAtNanos;
+          endpointId = attempt.endpointId();
+        }
+      }
+    }
+    return new DrainDelay(
+        drainingPublishedAtNanos.size(),
+        maxDelayNanos,
+        endpointId,
+        MAX_DISCOVERY_DELAY_NANOS + DRAIN_GRACE_NANOS);
+  }
+
   private static long latencyNanos(RequestRecord request) {
     return request.endedAtNanos() - request.sentAtNanos();
   }
--- a/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
+++ b/emulator/src/main/java/merlinrouter/emulator/peer/DiscoveryServer.java
@@ -15,14 +15,24 @@
   /** Interval of the empty lines that are sent on a watch while nothing changes. */
   private static final long HEARTBEAT_MILLIS = 2_000;
 
-  /** How long a watch stays open after a list that was cut short without an end. */
-  private static final long SILENT_WATCH_MILLIS = 60_000;
+  /** Few enough to be filled soon when connections must not be established. */
+  private static final int BACKLOG_CONNECTIONS = 64;
+
+  private static final String WATCH_RESPONSE_HEAD =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
   private record VersionedEntry(EndpointEntry entry, long revision) {}
 
   private final Map<String, VersionedEntry> entries = new LinkedHashMap<>();
   private long revision = 1;
   private boolean unresponsive;
+
+  /** The form of the current outage; null without one, and while merely unresponsive. */
+  private DiscoveryOutage outage;
+
+  /** Connections of an earlier generation stay open and silent. */
+  private int generation;
+
   private final AtomicReference<ListDelivery> listDelivery =
       new AtomicReference<>(ListDelivery.AT_ONCE);
 
@@ -31,6 +41,7 @@
 
   /** Starts the server with an empty list. */
   public DiscoveryServer() throws IOException {
+    super(BACKLOG_CONNECTIONS);
     start();
   }
 
@@ -53,6 +64,38 @@
     notifyAll();
   }
 
+  /**
+   * Starts an outage, in which nothing is sent on open watches. Connections that are open at its
+   * end stay silent as long as they last.
+   */
+  public void startOutage(DiscoveryOutage form) throws IOException {
+    synchronized (this) {
+      setUnresponsive(true);
+      outage = form;
+    }
+    if (form == DiscoveryOutage.RESET) {
+      resetConnections();
+    } else if (form == DiscoveryOutage.NEVER_UP) {
+      pauseAccepting();
+    }
+  }
+
+  /** Ends an outage. */
+  public void endOutage() throws IOException {
+    resumeAccepting();
+    synchronized (this) {
+      outage = null;
+      silenceConnections();
+      setUnresponsive(false);
+    }
+  }
+
+  /** Lets all open connections stay open and silent; further ones are served. */
+  public synchronized void silenceConnections() {
+    generation++;
+    notifyAll();
+  }
+
   /** Sets how the lists that are written from now on are delivered. */
   public void setListDelivery(ListDelivery delivery) {
     listDelivery.set(delivery);
@@ -83,23 +126,68 @@
 
   @Override
   void serve(Socket socket) throws IOException, InterruptedException {
+    int ownGeneration = generation();
     HttpMessage request = HttpMessage.read(socket.getInputStream());
     if (request == null) {
       return;
     }
+    DiscoveryOutage form = outage();
+    if (form != null) {
+      respondInOutage(socket, form);
+      return;
+    }
     awaitResponsive();
+    if (generation() != ownGeneration) {
+      awaitEnd(socket);
+      return;
+    }
     OutputStream out = socket.getOutputStream();
     if (DiscoveryProtocol.isWatch(request)) {
-      serveWatch(out, DiscoveryProtocol.knownRevision(request));
+      serveWatch(socket, DiscoveryProtocol.knownRevision(request), ownGeneration);
     } else {
       HttpMessage.write(out, HttpMessage.response(HttpMessage.STATUS_OK, "", fullList()));
     }
   }
 
-  /** Sends changes, one line each, until the watch's connection ends. */
-  private void serveWatch(OutputStream out, long firstKnownRevision)
+  private synchronized DiscoveryOutage outage() {
+    return outage;
+  }
+
+  private synchronized int generation() {
+    return generation;
+  }
+
+  private void respondInOutage(Socket socket, DiscoveryOutage form)
+      throws IOException, InterruptedException {
+    OutputStream out = socket.getOutputStream();
+    switch (form) {
+      case RESET -> reset(socket);
+      case HEAD_ALONE -> HttpMessage.write(out, WATCH_RESPONSE_HEAD);
+      case HALF_A_LIST -> {
+        HttpMessage.write(out, WATCH_RESPONSE_HEAD);
+        ListDelivery.cutShort(false).write(out, fullList());
+      }
+      default -> {
+        // Nothing is sent.
+      }
+    }
+    if (form != DiscoveryOutage.RESET) {
+      awaitEnd(socket);
+    }
+  }
+
+  /** Waits until the node closes a connection on which nothing more is sent. */
+  private static void awaitEnd(Socket socket) throws IOException {
+    while (socket.getInputStream().read() >= 0) {
+      // What the node sends is ignored.
+    }
+  }
+
+  /** Sends changes, one line each, until the watch's connection ends or it is silenced. */
+  private void serveWatch(Socket socket, long firstKnownRevision, int ownGeneration)
       throws IOException, InterruptedException {
-    HttpMessage.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    OutputStream out = socket.getOutputStream();
+    HttpMessage.write(out, WATCH_RESPONSE_HEAD);
     long knownRevision = firstKnownRevision;
     while (true) {
       String line;
@@ -109,17 +197,16 @@
       }
       ListDelivery delivery = listDelivery.get();
       if (!delivery.write(out, line)) {
-        endWatch(delivery);
+        if (!delivery.closes()) {
+          awaitEnd(socket);
+        }
+        return;
+      }
+      awaitChange(knownRevision, ownGeneration);
+      if (generation() != ownGeneration) {
+        awaitEnd(socket);
         return;
       }
-      awaitChange(knownRevision);
-    }
-  }
-
-  private static void endWatch(ListDelivery delivery) throws InterruptedException {
-    if (!delivery.closes()) {
-      // The node closes the connection; this thread ends with the server.
-      Thread.sleep(SILENT_WATCH_MILLIS);
     }
   }
 
@@ -138,11 +225,12 @@
 
   /**
    * Waits until there is a change or a heartbeat is due, and in any case until the server is
-   * responsive.
+   * responsive, or until the watch is silenced.
    */
-  private synchronized void awaitChange(long knownRevision) throws InterruptedException {
+  private synchronized void awaitChange(long knownRevision, int ownGeneration)
+      throws InterruptedException {
     long heartbeatAtNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS);
-    while (unresponsive || revision == knownRevision) {
+    while (generation == ownGeneration && (unresponsive || revision == knownRevision)) {
       long remainingMillis = TimeUnit.NANOSECONDS.toMillis(heartbeatAtNanos - System.nanoTime());
       if (remainingMillis <= 0 && !unresponsive) {
         return;
--- a/emulator/src/main/java/merlinrouter/emulator/peer/LoopbackServer.java
+++ b/emulator/src/main/java/merlinrouter/emulator/peer/LoopbackServer.java
@@ -5,6 +5,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -12,14 +15,29 @@
 public abstract class LoopbackServer implements AutoCloseable {
   private static final int BACKLOG_CONNECTIONS = 1_024;
   private static final long RESET_POLL_MILLIS = 1;
+  private static final int FULL_BACKLOG_TIMEOUT_MILLIS = 50;
 
   private final ServerSocket serverSocket = new ServerSocket();
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
 
+  /** Connections that fill the backlog while none is accepted. */
+  private final List<Socket> backlogFillers = new ArrayList<>();
+
+  private boolean acceptingPaused;
+
   /** Binds to a free port; {@link #start} starts accepting connections. */
   LoopbackServer() throws IOException {
+    this(BACKLOG_CONNECTIONS);
+  }
+
+  /**
+   * Binds to a free port; {@link #start} starts accepting connections.
+   *
+   * @param backlogConnections how many connections the kernel establishes before they are accepted
+   */
+  LoopbackServer(int backlogConnections) throws IOException {
     serverSocket.bind(
-        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG_CONNECTIONS);
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), backlogConnections);
   }
 
   /** Starts accepting connections; called once, at the end of the subclass's constructor. */
@@ -45,6 +63,39 @@
     return openSockets.size();
   }
 
+  /**
+   * Lets no further connection be established, until {@link #resumeAccepting}: the backlog is full,
+   * so that the kernel drops the requests to connect.
+   */
+  final synchronized void pauseAccepting() throws IOException {
+    acceptingPaused = true;
+    try {
+      while (true) {
+        Socket filler = new Socket();
+        backlogFillers.add(filler);
+        filler.connect(serverSocket.getLocalSocketAddress(), FULL_BACKLOG_TIMEOUT_MILLIS);
+      }
+    } catch (SocketTimeoutException e) {
+      // The backlog is full.
+    }
+  }
+
+  /** Accepts connections again. */
+  final synchronized void resumeAccepting() throws IOException {
+    acceptingPaused = false;
+    for (Socket filler : backlogFillers) {
+      filler.close();
+    }
+    backlogFillers.clear();
+    notifyAll();
+  }
+
+  private synchronized void awaitAccepting() throws InterruptedException {
+    while (acceptingPaused) {
+      wait();
+    }
+  }
+
   /** Resets all open connections. */
   public final void resetConnections() {
     openSockets.forEach(LoopbackServer::reset);
@@ -69,9 +120,10 @@
     }
   }
 
-  private void acceptConnections() throws IOException {
+  private void acceptConnections() throws IOException, InterruptedException {
     while (!serverSocket.isClosed()) {
       Socket socket = serverSocket.accept();
+      awaitAccepting();
       socket.setTcpNoDelay(true);
       openSockets.add(socket);
       BackgroundThreads.start(
--- a/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/FaultInjector.java
@@ -8,6 +8,7 @@
 import merlinrouter.emulator.fleet.Fleet;
 import merlinrouter.emulator.fleet.NodeProcess.Signal;
 import merlinrouter.emulator.invariant.InvariantChecker;
+import merlinrouter.emulator.peer.DiscoveryOutage;
 import merlinrouter.emulator.peer.FaultProxy.Condition;
 import merlinrouter.emulator.peer.ListDelivery;
 import merlinrouter.emulator.peer.UpstreamServer.Behavior;
@@ -39,7 +40,7 @@
   private final FaultLog log;
 
   /** Start of the current outage of discovery, or 0 without an outage. */
-  private volatile long discoveryOutageStartNanos;
+  private long discoveryOutageStartNanos;
 
   FaultInjector(
       Fleet fleet,
@@ -189,8 +190,29 @@
         durationMillis,
         () -> {
           fleet.discovery().setUnresponsive(false);
-          checker.discoveryRecovered(discoveryOutageStartNanos, System.nanoTime());
-          discoveryOutageStartNanos = 0;
+          discoveryRecovered();
         });
   }
+
+  /** Starts an outage of discovery, after the current one if there is one. Called by any thread. */
+  synchronized void awaitAndStartOutage(DiscoveryOutage form)
+      throws IOException, InterruptedException {
+    while (discoveryOutageStartNanos != 0) {
+      wait();
+    }
+    discoveryOutageStartNanos = System.nanoTime();
+    fleet.discovery().startOutage(form);
+  }
+
+  /** Ends an outage that was started by {@link #awaitAndStartOutage}. Called by any thread. */
+  void endOutage() throws IOException {
+    fleet.discovery().endOutage();
+    discoveryRecovered();
+  }
+
+  private synchronized void discoveryRecovered() {
+    checker.discoveryRecovered(discoveryOutageStartNanos, System.nanoTime());
+    discoveryOutageStartNanos = 0;
+    notifyAll();
+  }
 }
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakCommand.java
@@ -39,6 +39,7 @@
   private static final int EXIT_FAILED = 1;
   private static final int EXIT_NO_VERDICT = 3;
   private static final int MAX_LINES = 20;
+  private static final int MIN_MAX_OUTAGE_SECONDS = 4;
 
   @Option(
       names = "--root",
@@ -110,6 +111,15 @@
       })
   private boolean hard;
 
+  @Option(
+      names = "--outage-series-max-s",
+      description = {
+        "Also inject outages of discovery in series: a first one of 3 s up to this many seconds,"
+            + " then, soon after its end, another trouble and servers that drain. 0 for none"
+            + " (default: ${DEFAULT-VALUE})."
+      })
+  private int maxOutageSeconds;
+
   @Option(
       names = "--folder",
       description =
@@ -130,7 +140,8 @@
             emulatorDelayMillis,
             Stream.concat(kinds.stream(), additionalKinds.stream()).toList(),
             new ClientTimeouts(timeoutsMillis),
-            hard);
+            hard,
+            Duration.ofSeconds(maxOutageSeconds));
     Set<Verdict> verdicts = EnumSet.noneOf(Verdict.class);
     Path runsFolder = folder == null ? Files.createTempDirectory("soak") : folder;
     for (long seed = firstSeed; seed < firstSeed + seedCount; seed++) {
@@ -148,6 +159,9 @@
     requireAtLeast("--servers", upstreamCount, 1);
     requireAtLeast("--seconds", durationSeconds, 1);
     requireAtLeast("--own-delay-ms", emulatorDelayMillis, 0);
+    if (maxOutageSeconds != 0) {
+      requireAtLeast("--outage-series-max-s", maxOutageSeconds, MIN_MAX_OUTAGE_SECONDS);
+    }
     timeoutsMillis.forEach(millis -> requireAtLeast("--timeouts-ms", millis, 1));
     if (!Files.isRegularFile(root.resolve(Fleet.PROGRAM))) {
       throw badOption("--root " + root + " has no built program " + Fleet.PROGRAM);
@@ -188,6 +202,7 @@
         seedFolder);
     System.out.println("  margins: " + result.margins());
     printFirst("    ", result.margins().overdue());
+    System.out.println("  drains: " + result.drainDelay());
     System.out.println("  faults " + result.faultsByKind());
     System.out.println("  violations " + countsByInvariant(result.violations()));
     printFirst("  ", result.violations());
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakResult.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakResult.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import merlinrouter.emulator.invariant.DrainDelay;
 import merlinrouter.emulator.invariant.Violation;
 
 /**
@@ -15,6 +16,7 @@
  * @param unknownAttempts the number of attempts that carried an id that no client sent
  * @param faultsByKind the number of injected faults by kind
  * @param faultLines the faults with their times, as in the run's {@code faults.log}
+ * @param drainDelay how late drains took effect
  * @param margins the times from responses to their clients' deadlines
  */
 record SoakResult(
@@ -26,6 +28,7 @@
     long unknownAttempts,
     Map<String, Integer> faultsByKind,
     List<String> faultLines,
+    DrainDelay drainDelay,
     ResponseMargins margins) {
 
   /** A run with a greater fraction of inconclusive requests has no verdict. */
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakRun.java
@@ -24,6 +24,9 @@
   /** Makes the process faults of a seed independent of its clients' random choices. */
   private static final long PROCESS_FAULT_SEED_OFFSET = 0x5eed_0000_0000L;
 
+  /** Makes the series of outages of a seed independent of all else. */
+  private static final long OUTAGE_SEED_OFFSET = 0x0a7a_0000_0000L;
+
   private final Fleet fleet;
   private final long seed;
   private final SoakSettings settings;
@@ -94,6 +97,18 @@
     if (!processFaultKinds.isEmpty()) {
       processFaults.start();
     }
+    DiscoveryOutageInjector outages =
+        new DiscoveryOutageInjector(
+            fleet,
+            injector,
+            upstreams,
+            restarter,
+            faultLog,
+            new SplittableRandom(seed + OUTAGE_SEED_OFFSET),
+            settings.maxOutage());
+    if (settings.hasOutageSeries()) {
+      outages.start();
+    }
     FaultSchedule schedule = new FaultSchedule(seed, settings.kinds());
     long endNanos = System.nanoTime() + settings.duration().toNanos();
     while (System.nanoTime() - endNanos < 0) {
@@ -102,6 +117,7 @@
       Thread.sleep(fault.delayToNextMillis());
     }
     processFaults.stop();
+    outages.stop();
   }
 
   private SoakResult result() throws IOException {
@@ -132,6 +148,7 @@
         fleet.requests().unknownAttempts(),
         faultLog.countsByKind(),
         faultLog.lines(),
+        checker.drainDelay(fleet.requests().requests()),
         ResponseMargins.of(fleet.requests().requests(), lateness, faultLog::millisSinceStart));
   }
 
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakSettings.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakSettings.java
@@ -16,6 +16,8 @@
  * @param hard whether faults of whole processes are injected too and a node that shuts down is
  *     killed at the earliest permitted time. A process that still runs then is not a node fault,
  *     but a request without a response violates an invariant.
+ * @param maxOutage upper bound on the first outage of each series of outages of discovery; zero for
+ *     no series
  */
 record SoakSettings(
     int nodeCount,
@@ -24,7 +26,8 @@
     long emulatorDelayMillis,
     List<FaultKind> kinds,
     ClientTimeouts clientTimeouts,
-    boolean hard) {
+    boolean hard,
+    Duration maxOutage) {
   /** A node may be killed when the longest deadline and this time have passed since SIGTERM. */
   private static final Duration KILL_MARGIN = Duration.ofMillis(700);
 
@@ -41,6 +44,11 @@
     return (hard && isShorter ? configured : MAX_LONGEST_DEADLINE).plus(KILL_MARGIN);
   }
 
+  /** Returns whether outages of discovery are injected in series. */
+  boolean hasOutageSeries() {
+    return !maxOutage.isZero();
+  }
+
   /** Returns the kinds of fault of whole processes that are injected for a seed. */
   List<ProcessFaultKind> processFaultKinds(long seed) {
     if (!hard) {
--- a/emulator/src/main/java/merlinrouter/emulator/soak/SoakUpstreams.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/SoakUpstreams.java
@@ -11,7 +11,7 @@
 import merlinrouter.emulator.peer.UpstreamServer.Behavior;
 import merlinrouter.emulator.peer.UpstreamServer.Reaction;
 
-/** The upstream servers of a soak test that are not draining. Used by one thread. */
+/** The upstream servers of a soak test that are not draining. Thread-safe. */
 final class SoakUpstreams {
   private static final long RESPONSE_DELAY_MILLIS = 15;
   private static final long STARTED_LONG_AGO = 0;
@@ -41,7 +41,7 @@
   }
 
   /** Drains two thirds of the servers and starts as many new ones. */
-  void replaceMost() throws IOException {
+  synchronized void replaceMost() throws IOException {
     int replacedCount = ready.size() * 2 / 3;
     for (Upstream old : List.copyOf(ready.subList(0, replacedCount))) {
       replace(old);
@@ -58,16 +58,18 @@
   }
 
   /** Selects one of the servers that are not draining. */
-  Upstream pick(int selector) {
+  synchronized Upstream pick(int selector) {
     return ready.get(selector % ready.size());
   }
 
-  /** Drains a server and starts a new one, unless it is the only one that is not draining. */
-  void replace(Upstream old) throws IOException {
-    if (ready.size() == 1) {
+  /**
+   * Drains a server and starts a new one, unless it is the only one that is not draining or drains
+   * already.
+   */
+  synchronized void replace(Upstream old) throws IOException {
+    if (ready.size() == 1 || !ready.remove(old)) {
       return;
     }
-    ready.remove(old);
     checker.endpointDraining(old.server().id(), System.nanoTime());
     fleet.publish(old.server(), EndpointEntry.State.DRAINING, STARTED_LONG_AGO);
     add(System.currentTimeMillis());
--- a/emulator/src/test/java/merlinrouter/emulator/SoakCommandLineTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/SoakCommandLineTest.java
@@ -29,6 +29,8 @@
     assertUsageError("--seconds must be at least 1, not 0", "--seconds", "0");
     assertUsageError("--seeds must be at least 1, not 0", "--seeds", "0");
     assertUsageError("--own-delay-ms must be at least 0, not -5", "--own-delay-ms", "-5");
+    assertUsageError(
+        "--outage-series-max-s must be at least 4, not 3", "--outage-series-max-s", "3");
     assertUsageError("--timeouts-ms must be at least 1, not 0", "--timeouts-ms", "361,0");
   }
 
--- a/emulator/src/test/java/merlinrouter/emulator/SoakTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/SoakTest.java
@@ -42,4 +42,35 @@
     assertEquals(
         0, status, "the soak test failed; see the violations and faults on standard output");
   }
+
+  /** Guards against report 4e79c6: drains took effect late on a watch opened in an outage. */
+  @Test
+  void drainsTakeEffectInTimeUnderOutagesOfDiscoveryInSeries() {
+    int status =
+        Main.commandLine()
+            .execute(
+                "soak",
+                "--root",
+                NodeFaultTestBase.ROOT.toString(),
+                "--folder",
+                folder.toString(),
+                "--only",
+                "SERVER_ERRS,CLOCK_STEPS",
+                "--outage-series-max-s",
+                "6",
+                "--seed",
+                "3",
+                "--seeds",
+                "2",
+                "--nodes",
+                "4",
+                "--servers",
+                "6",
+                "--seconds",
+                "25",
+                "--own-delay-ms",
+                EMULATOR_DELAY_MILLIS);
+    assertEquals(
+        0, status, "the soak test failed; see the violations and faults on standard output");
+  }
 }
--- a/emulator/src/test/java/merlinrouter/emulator/invariant/InvariantCheckerTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/invariant/InvariantCheckerTest.java
@@ -167,6 +167,19 @@
     assertViolates(request);
   }
 
+  @Test
+  void theDrainDelayIsThatOfTheLatestAttemptAtADrainingEndpoint() {
+    RequestRecord request = servedRequest(RequestClass.IDEMPOTENT);
+    addAttempt(request, 0, TIMEOUT_MILLIS, false);
+    assertEquals(0, checker.drainDelay(List.of(request)).maxDelayNanos());
+    checker.endpointDraining(ENDPOINT_ID, secondsBefore(request, 3));
+    checker.endpointDraining("unused", secondsBefore(request, 9));
+    DrainDelay delay = checker.drainDelay(List.of(request));
+    assertEquals(2, delay.drains());
+    assertEquals(ENDPOINT_ID, delay.endpointId());
+    assertEquals(TimeUnit.SECONDS.toNanos(3), delay.maxDelayNanos());
+  }
+
   private static long secondsBefore(RequestRecord request, long seconds) {
     return request.sentAtNanos() - TimeUnit.SECONDS.toNanos(seconds);
   }
--- a/emulator/src/test/java/merlinrouter/emulator/soak/SoakResultTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/soak/SoakResultTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import merlinrouter.emulator.invariant.DrainDelay;
 import merlinrouter.emulator.soak.SoakResult.Verdict;
 import org.junit.jupiter.api.Test;
 
@@ -19,6 +20,7 @@
         0,
         Map.of(),
         List.of(),
+        new DrainDelay(0, 0, "", 0),
         new ResponseMargins(List.of()));
   }
 
--- a/emulator/src/test/java/merlinrouter/emulator/soak/SoakSettingsTest.java
+++ b/emulator/src/test/java/merlinrouter/emulator/soak/SoakSettingsTest.java
@@ -25,7 +25,8 @@
         0,
         FaultKind.defaultKinds(),
         new ClientTimeouts(List.of()),
-        hard);
+        hard,
+        Duration.ZERO);
   }
 
   /** 700 ms after the longest deadline: the configured 2.5 s in a hard run, otherwise 3 s. */
