Log when watches are answered, deliver lists, fall silent or are given up, with their ages

Lines 'watch N EVENT: detail', at most 20 an interval, and counts of the same events. A watch that is given up is closed in one place now. The tests of discovery pass.

--- a/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
+++ b/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
@@ -49,6 +49,7 @@
   private final EndpointListListener listener;
   private final EventLoop loop;
   private final NodeLog log;
+  private final WatchLog watchLog;
   private final WatchTimeouts timeouts;
   private final Bootstrap bootstrap;
 
@@ -75,6 +76,7 @@
     this.listener = listener;
     this.loop = loop;
     this.log = log;
+    watchLog = new WatchLog(log);
     address = config.discovery();
     timeouts = WatchTimeouts.of(config.settings().limits().endpointSubscription());
     bootstrap =
@@ -149,8 +151,8 @@
       return;
     }
     Channel channel = connecting.channel();
-    watches.put(channel, new Watch(channel));
     totalWatches++;
+    watches.put(channel, new Watch(totalWatches, channel, this::giveUp));
     channel.closeFuture().addListener(closed -> watchEnded(channel));
     scheduleWatch(timeouts.hedgingDelayMillis());
   }
@@ -160,7 +162,7 @@
     watches.values().stream()
         .skip(MAX_RETAINED_WATCHES)
         .max(Comparator.comparingLong(Watch::nanosWithoutProgress))
-        .ifPresent(this::close);
+        .ifPresent(this::giveUp);
   }
 
   private void scheduleWatch(long delayMillis) {
@@ -184,6 +186,21 @@
     watch.channel().close();
   }
 
+  /** Closes a watch that is waited for no longer. The entries that it delivered are applied. */
+  private void giveUp(Watch watch) {
+    watchLog.givenUp(watch);
+    deliverIncompleteList(watch);
+    close(watch);
+    watchRemoved();
+  }
+
+  private static void deliverIncompleteList(Watch watch) {
+    EndpointListHandler lists = watch.channel().pipeline().get(EndpointListHandler.class);
+    if (lists != null) {
+      lists.deliverIncompleteList();
+    }
+  }
+
   private void closeAllExcept(Watch retained, Predicate<Watch> closed) {
     for (Watch watch : List.copyOf(watches.values())) {
       if (watch != retained && closed.test(watch)) {
@@ -197,11 +214,13 @@
     if (ended == null) {
       return;
     }
-    EndpointListHandler lists = channel.pipeline().get(EndpointListHandler.class);
-    if (lists != null) {
-      lists.deliverIncompleteList();
-    }
+    watchLog.ended(ended);
+    deliverIncompleteList(ended);
     stopReading(ended);
+    watchRemoved();
+  }
+
+  private void watchRemoved() {
     if (watches.isEmpty()) {
       scheduleWatch(backoffMillis);
       backoffMillis = Math.min(timeouts.maxBackoffMillis(), 2 * backoffMillis);
@@ -224,6 +243,7 @@
   void responseStarted(Channel channel) {
     Watch answered = watches.get(channel);
     if (answered != null && answered.isUnanswered()) {
+      watchLog.answered(answered);
       answered.responseStarted();
       closeAllExcept(answered, watch -> !watch.isListIncomplete());
       cancelNextWatchUnlessPending();
@@ -274,7 +294,9 @@
 
   /** Handles a list that a watch has delivered: the other watches are closed. */
   void updateReceived(Channel channel, EndpointList update) {
-    closeAllExcept(watches.get(channel), watch -> true);
+    Watch delivering = watches.get(channel);
+    watchLog.listReceived(delivering, update);
+    closeAllExcept(delivering, watch -> true);
     EndpointList merged = merger.mergeList(update);
     listener.endpointsUpdated(
         merged, merged.complete() ? EndpointUpdateType.FULL : EndpointUpdateType.DELTA);
--- a/src/main/java/merlinrouter/node/discovery/Watch.java
+++ b/src/main/java/merlinrouter/node/discovery/Watch.java
@@ -2,12 +2,11 @@
 
 import io.netty.channel.Channel;
 import java.util.concurrent.TimeUnit;
-import merlinrouter.node.config.InvalidConfigException;
-import merlinrouter.node.logging.ErrorLog;
+import java.util.function.Consumer;
 import merlinrouter.node.transport.ProgressTimeout;
 
 /**
- * A watch of the endpoint list and what has been received on it. It is closed when nothing more
+ * A watch of the endpoint list and what has been received on it. It times out when nothing more
  * arrives; while a list is incomplete, only further parts of that list count. Used on the event
  * loop only.
  */
@@ -30,28 +29,39 @@
     BETWEEN_LISTS
   }
 
+  private final int number;
   private final Channel channel;
+  private final Consumer<Watch> timeoutListener;
   private final ProgressTimeout timeout;
+  private final long openedAtNanos = System.nanoTime();
   private State state = State.UNANSWERED;
 
   /**
    * Creates the state of a watch that is being opened.
    *
+   * @param number tells this watch from others in the log
    * @param channel the connection, not necessarily established
+   * @param timeoutListener closes the watch after a time without progress
    */
-  Watch(Channel channel) {
+  Watch(int number, Channel channel, Consumer<Watch> timeoutListener) {
+    this.number = number;
     this.channel = channel;
+    this.timeoutListener = timeoutListener;
     timeout = new ProgressTimeout(channel.eventLoop(), this::timedOut);
     timeout.start(TimeUnit.MILLISECONDS.toNanos(MAX_PENDING_MILLIS));
   }
 
   private void timedOut() {
-    if (isListIncomplete()) {
-      ErrorLog.report(
-          "discovery",
-          new InvalidConfigException("the rest of an incomplete endpoint list did not arrive"));
-    }
-    channel.close();
+    timeoutListener.accept(this);
+  }
+
+  int number() {
+    return number;
+  }
+
+  /** Returns how long ago the watch was opened. */
+  long ageNanos() {
+    return System.nanoTime() - openedAtNanos;
   }
 
   Channel channel() {
--- a/src/main/java/merlinrouter/node/logging/NodeLog.java
+++ b/src/main/java/merlinrouter/node/logging/NodeLog.java
@@ -39,20 +39,36 @@
     /** The event loop was stalled for longer than the rules of the service allow for. */
     EVENT_LOOP_STALLED,
     /** The wall clock stepped. */
-    CLOCK_STEPPED
+    CLOCK_STEPPED,
+    /** Discovery started to respond to a watch of the endpoint list. */
+    WATCH_ANSWERED,
+    /** A watch delivered a complete list or complete changes. */
+    LIST_RECEIVED,
+    /** A watch was closed since it had fallen silent between two lists. */
+    WATCH_SILENT,
+    /** A watch was closed without a response, or for another one to be opened. */
+    WATCH_UNANSWERED,
+    /** A watch was closed since the rest of an incomplete list did not arrive. */
+    LIST_INCOMPLETE,
+    /** A watch ended at discovery's side or failed. */
+    WATCH_ENDED
   }
 
   /** Default interval between two lines of counts. */
   public static final Duration DEFAULT_INTERVAL = Duration.ofSeconds(10);
 
-  /** Bounds the output under a burst of events; events beyond this are only counted. */
-  private static final int MAX_REQUEST_LINES_PER_INTERVAL = 20;
+  /**
+   * Bounds the output under a burst of events of requests, and of watches; events beyond this are
+   * only counted.
+   */
+  private static final int MAX_LINES_PER_INTERVAL = 20;
 
   private final boolean silent;
   private final long intervalNanos;
   private final Map<Event, Long> counts = new EnumMap<>(Event.class);
   private long violations;
   private int requestLines;
+  private int watchLines;
   private boolean changed;
   private long intervalStartedAtNanos = System.nanoTime();
 
@@ -99,12 +115,26 @@
    */
   public void request(Event event, String requestId, String reason) {
     count(event);
-    if (requestLines < MAX_REQUEST_LINES_PER_INTERVAL) {
+    if (requestLines < MAX_LINES_PER_INTERVAL) {
       writeLine("request " + requestId + " " + event + ": " + reason);
     }
     requestLines++;
   }
 
+  /**
+   * Counts an event of a watch of the endpoint list, and writes a line about it unless the maximum
+   * number of such lines has been written in this interval.
+   *
+   * @param watchNumber number of the watch, counted from the start of the process
+   */
+  public void watch(Event event, int watchNumber, String detail) {
+    count(event);
+    if (watchLines < MAX_LINES_PER_INTERVAL) {
+      writeLine("watch " + watchNumber + " " + event + ": " + detail);
+    }
+    watchLines++;
+  }
+
   /** Counts and logs an action that was not carried out because it would break an invariant. */
   public void violation(String requestId, String invariant) {
     violations++;
@@ -125,6 +155,7 @@
     }
     intervalStartedAtNanos = nowNanos;
     requestLines = 0;
+    watchLines = 0;
     if (changed) {
       changed = false;
       writeLine("counts: " + counts + ", violations=" + violations);
