Leave the rate of counter calls as it was before a silence of the counter

While the counter was silent, each call that timed out lowered the rate for the time after it too, down to one call a second; it then grew by e a second at best, so that decisions rested on old totals for seconds. Test: CounterCallRateLimiterTest.theRateAfterALongSilenceIsThatAfterAShortOne failed before, 1 call a second after a silence of 40 s, 100 before it.

Calls without a response change the rate only until the silence is noticed (0.5 s), after which one call a second is made anyway. Rejections still lower it.

--- a/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
+++ b/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
@@ -122,9 +122,11 @@
   }
 
   /**
-   * Adapts the rate to the duration of a call that ended. A failure within the target duration
-   * other than a rejection, such as a broken connection, does not indicate load and is ignored. The
-   * rate increases only if a call of at least mean priority was denied since the last adjustment.
+   * Adapts the rate to the duration of a call that ended. A call without a response while the
+   * counter is silent says nothing about the load that it bears later. A failure within the target
+   * duration other than a rejection, such as a broken connection, does not indicate load and is
+   * ignored. The rate increases only if a call of at least mean priority was denied since the last
+   * adjustment.
    */
   void callEnded(Outcome outcome, long durationNanos, long timeoutNanos) {
     boolean answered = outcome == Outcome.OK;
@@ -133,7 +135,7 @@
             ? REJECTED_TIMEOUT_FRACTION
             : durationNanos / (double) timeoutNanos;
     boolean inStartup = answered && clock.nanosSince(startedAtNanos) < STARTUP_NANOS;
-    boolean slow = timeoutFraction > TARGET_TIMEOUT_FRACTION;
+    boolean slow = timeoutFraction > TARGET_TIMEOUT_FRACTION && (answered || !health.isSilent());
     if (!inStartup && (slow || answered && deniedSinceAdjustment)) {
       adjust(timeoutFraction, answered);
     }
--- a/src/test/java/merlinrouter/quota/CounterCallRateLimiterTest.java
+++ b/src/test/java/merlinrouter/quota/CounterCallRateLimiterTest.java
@@ -86,6 +86,29 @@
     assertEquals(20, callsIn(20), 1);
   }
 
+  /** Calls without a response do not show the load that a counter bears once it is back. */
+  @Test
+  void theRateAfterALongSilenceIsThatAfterAShortOne() {
+    for (int i = 0; i < 8; i++) {
+      callsIn(1);
+      limiter.callEnded(Outcome.OK, 5 * PER_MILLI, 50 * PER_MILLI);
+    }
+    int before = callsIn(1);
+    for (int i = 0; i < 40; i++) {
+      clock.advanceTo(clock.nowNanos() + PER_SECOND);
+      limiter.tryAcquire(HIGH_PRIORITY);
+      limiter.callEnded(Outcome.TIMEOUT, 50 * PER_MILLI, 50 * PER_MILLI);
+      health.recordCall(false);
+    }
+    limiter.callEnded(Outcome.OK, 5 * PER_MILLI, 50 * PER_MILLI);
+    health.recordCall(true);
+    callsIn(1);
+    int after = callsIn(1);
+    assertTrue(
+        after >= before / 4,
+        after + " calls per second after the silence, at least a quarter of " + before + " due");
+  }
+
   @Test
   void theRateGrowsFastUntilACallIsSlow() {
     callsIn(2);
