Let rejections lower the rate of counter calls also while the counter is silent

Test: CounterCallRateLimiterTest.rejectionsLowerTheRateAlsoDuringASilence failed on it, 20 calls in 10 s instead of 10.

--- a/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
+++ b/src/main/java/merlinrouter/quota/CounterCallRateLimiter.java
@@ -135,8 +135,10 @@
             ? REJECTED_TIMEOUT_FRACTION
             : durationNanos / (double) timeoutNanos;
     boolean inStartup = answered && clock.nanosSince(startedAtNanos) < STARTUP_NANOS;
-    boolean slow = timeoutFraction > TARGET_TIMEOUT_FRACTION && (answered || !health.isSilent());
-    if (!inStartup && (slow || answered && deniedSinceAdjustment)) {
+    boolean slow = timeoutFraction > TARGET_TIMEOUT_FRACTION;
+    boolean rejected = outcome == Outcome.REJECTED;
+    boolean lostInSilence = health.isSilent() && !answered && !rejected;
+    if (!inStartup && !lostInSilence && (slow || answered && deniedSinceAdjustment)) {
       adjust(timeoutFraction, answered);
     }
   }
--- a/src/test/java/merlinrouter/quota/CounterCallRateLimiterTest.java
+++ b/src/test/java/merlinrouter/quota/CounterCallRateLimiterTest.java
@@ -109,6 +109,21 @@
         after + " calls per second after the silence, at least a quarter of " + before + " due");
   }
 
+  @Test
+  void rejectionsLowerTheRateAlsoDuringASilence() {
+    clock.advanceTo(PER_SECOND);
+    for (int i = 0; i < 3; i++) {
+      health.recordCall(false);
+    }
+    for (int i = 0; i < 40; i++) {
+      clock.advanceTo(clock.nowNanos() + PER_SECOND);
+      limiter.callEnded(Outcome.REJECTED, PER_MILLI, 50 * PER_MILLI);
+    }
+    health.recordCall(true);
+    callsIn(10);
+    assertEquals(10, callsIn(10), 1);
+  }
+
   @Test
   void theRateGrowsFastUntilACallIsSlow() {
     callsIn(2);
