Let the error rate of a zone decay while there are no attempts on it

Where the other zones are healthy, a zone whose rate is over about 2.5 % got none, so that a gateway at 30 requests a second never used its own zone again after an outage of 5 s.

From 1 s without an attempt on, the rate decays with a time constant of 10 s. With attempts more often than that nothing changes. Endpoints' own rates decay toward this one and needed no change.

--- a/src/main/java/merlinrouter/loadbalancing/GroupStatistics.java
+++ b/src/main/java/merlinrouter/loadbalancing/GroupStatistics.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import merlinrouter.time.EventClock;
 
 /**
  * Mean latency by machine type and mean error rate by zone. With few attempts on an endpoint, a
@@ -14,8 +15,23 @@
   /** Latency assumed for a machine type without attempts, relative to the expected time. */
   private static final double INITIAL_RELATIVE_LATENCY = 1;
 
+  /** Time without an attempt on a zone from which on its error rate decays. */
+  private static final double ERROR_RETENTION_SECONDS = 1;
+
+  /** Time constant of this decay: a zone that is avoided for its errors is tried again. */
+  private static final double ERROR_DECAY_SECONDS = 10;
+
+  /** The mean error rate of a zone as of its last attempt. */
+  private record ZoneErrors(double errorRate, long observedAtNanos) {}
+
+  private final EventClock clock;
   private final Map<Integer, Double> relativeLatencyByMachineType = new HashMap<>();
-  private final Map<Integer, Double> errorRateByZone = new HashMap<>();
+  private final Map<Integer, ZoneErrors> errorsByZone = new HashMap<>();
+
+  /** Creates statistics without any attempts. */
+  GroupStatistics(EventClock clock) {
+    this.clock = clock;
+  }
 
   /**
    * Records an attempt.
@@ -29,8 +45,9 @@
     double weight = SAMPLE_WEIGHT / Math.max(1, endpointCount);
     relativeLatencyByMachineType.merge(
         machineType, relativeLatency, (mean, sample) -> mean + weight * (sample - mean));
-    errorRateByZone.merge(
-        zone, weight * error, (mean, weightedError) -> mean + weight * (error - mean));
+    double errorRate = errorRate(zone);
+    errorsByZone.put(
+        zone, new ZoneErrors(errorRate + weight * (error - errorRate), clock.nowNanos()));
   }
 
   /** Returns the mean latency of a machine type, relative to the expected service time. */
@@ -38,8 +55,14 @@
     return relativeLatencyByMachineType.getOrDefault(machineType, INITIAL_RELATIVE_LATENCY);
   }
 
-  /** Returns the mean error rate of a zone, 0 to 1. */
+  /** Returns the mean error rate of a zone, 0 to 1; it decays while there are no attempts. */
   double errorRate(int zone) {
-    return errorRateByZone.getOrDefault(zone, 0.0);
+    ZoneErrors errors = errorsByZone.get(zone);
+    if (errors == null) {
+      return 0;
+    }
+    double idleSeconds = clock.secondsSince(errors.observedAtNanos);
+    double decaySeconds = Math.max(0, idleSeconds - ERROR_RETENTION_SECONDS);
+    return errors.errorRate * Math.exp(-decaySeconds / ERROR_DECAY_SECONDS);
   }
 }
--- a/src/main/java/merlinrouter/loadbalancing/LoadBalancer.java
+++ b/src/main/java/merlinrouter/loadbalancing/LoadBalancer.java
@@ -38,7 +38,7 @@
     this.settings = settings;
     this.log = log;
     this.random = random;
-    registry = new EndpointRegistry(new GroupStatistics(), clock);
+    registry = new EndpointRegistry(new GroupStatistics(clock), clock);
     loadReports = new LoadReports(settings.loadReportNames());
     scorer = new EndpointScorer(settings, clock, loadReports);
     forwardedWork = new ForwardedWork(clock);
--- a/src/test/java/merlinrouter/loadbalancing/EndpointRegistryTest.java
+++ b/src/test/java/merlinrouter/loadbalancing/EndpointRegistryTest.java
@@ -17,7 +17,7 @@
 /** Tests how updates of the endpoint list are applied. */
 class EndpointRegistryTest {
   private final EventClock clock = new EventClock(PER_SECOND);
-  private final EndpointRegistry registry = new EndpointRegistry(new GroupStatistics(), clock);
+  private final EndpointRegistry registry = new EndpointRegistry(new GroupStatistics(clock), clock);
 
   private void update(EndpointUpdateType type, Endpoint... entries) {
     registry.update(type, List.of(entries));
--- a/src/test/java/merlinrouter/loadbalancing/EndpointTrackerTest.java
+++ b/src/test/java/merlinrouter/loadbalancing/EndpointTrackerTest.java
@@ -22,7 +22,10 @@
   private final EventClock clock = new EventClock(PER_SECOND);
   private final EndpointTracker tracker =
       new EndpointTracker(
-          new Endpoint("a", 1, 0, 0, 0, EndpointState.READY, 0), new GroupStatistics(), clock, 0);
+          new Endpoint("a", 1, 0, 0, 0, EndpointState.READY, 0),
+          new GroupStatistics(clock),
+          clock,
+          0);
 
   private boolean observe(Outcome outcome, long durationNanos) {
     return tracker.observe(
--- a/src/test/java/merlinrouter/loadbalancing/LoadReportsTest.java
+++ b/src/test/java/merlinrouter/loadbalancing/LoadReportsTest.java
@@ -20,7 +20,10 @@
 
   private EndpointTracker tracker() {
     return new EndpointTracker(
-        new Endpoint("a", 1, 0, 0, 0, EndpointState.READY, 0), new GroupStatistics(), clock, 0);
+        new Endpoint("a", 1, 0, 0, 0, EndpointState.READY, 0),
+        new GroupStatistics(clock),
+        clock,
+        0);
   }
 
   @Test
--- a/src/test/java/merlinrouter/loadbalancing/SlowStartTest.java
+++ b/src/test/java/merlinrouter/loadbalancing/SlowStartTest.java
@@ -36,7 +36,7 @@
   private EndpointTracker tracker(long startedAtNanos) {
     return new EndpointTracker(
         new Endpoint("a", 1, 0, 0, 0, EndpointState.READY, startedAtNanos),
-        new GroupStatistics(),
+        new GroupStatistics(clock),
         clock,
         0);
   }
