Answer all requests read on a connection before a drain or idle clients close it

The orderly end of these connections shows that they had been read. Tests: both of PipelinedRequestsTest failed before ('the first response announced a close').

The connection now closes with the first response behind which nothing has been read.

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -228,7 +228,9 @@
       return false;
     }
     boolean wasBetweenRequests = state.isBetweenRequests();
-    if (wasBetweenRequests && decodingShare.isWaiting()) {
+    // A client that does not read its responses keeps its connection no longer than an idle one.
+    boolean resumesDecoding = decoder.hasPartOfRequest() && channel.isWritable();
+    if (wasBetweenRequests && (decodingShare.isWaiting() || resumesDecoding)) {
       return true;
     }
     presence.readAvailable();
@@ -328,11 +330,7 @@
    * @param retryAfterNanos time from now after which the client may retry; 0 for no advice
    */
   void respond(HttpResponseStatus status, ByteBuf content, long retryAfterNanos) {
-    boolean close =
-        !keepAlive
-            || registry.isDraining()
-            || registry.hasMaxIdleConnections()
-            || acceptThrottle.isPaused(channel.parent());
+    boolean close = !keepAlive || isCloseDue() && !decoder.hasPartOfRequest();
     state.endRequest(close);
     responses.write(status, content, retryAfterNanos, close);
     if (!state.isClosing()) {
@@ -340,6 +338,16 @@
     }
   }
 
+  /**
+   * Returns whether the connection is to close with its next response. Requests that have been read
+   * behind the one that is answered are answered first.
+   */
+  private boolean isCloseDue() {
+    return registry.isDraining()
+        || registry.hasMaxIdleConnections()
+        || acceptThrottle.isPaused(channel.parent());
+  }
+
   /** Resumes decoding of pipelined requests, unless the client does not read its responses. */
   private void resumeDecoding() {
     boolean mayDecode = state.mayReceive() && !isRequestComplete();
