Do not pass on a response whose length ends it ahead of other bytes that were read with it

Test: MalformedResponseTest.aResponseWithNoiseBehindItsLengthIsNotPassedOn failed before (the request was not sent again).

The response now waits for the end of the read. If its end was given by a length and what follows is neither another response nor line ends, the attempt counts as one that may have run: retried where the class allows it, else 502.

--- a/src/main/java/merlinrouter/node/http/ResponseDecoder.java
+++ b/src/main/java/merlinrouter/node/http/ResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
+import io.netty.util.ByteProcessor;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
@@ -21,12 +22,21 @@
   private static final byte[] VERSION_PREFIX = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
   private boolean betweenResponses = true;
+  private boolean noiseBehindResponse;
 
   /** Returns whether the bytes read so far consist of complete responses only. */
   public boolean isBetweenResponses() {
     return betweenResponses && actualReadableBytes() == 0;
   }
 
+  /**
+   * Returns whether the bytes behind the last complete response neither start another response nor
+   * are mere line ends. They may be the rest of its body, if its length was given too small.
+   */
+  public boolean hasNoiseBehindResponse() {
+    return noiseBehindResponse;
+  }
+
   /** Rejects a line without a colon, which Netty's decoder accepts as a header without a value. */
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
@@ -53,6 +63,7 @@
     int length = Math.min(VERSION_PREFIX.length, in.readableBytes());
     for (int i = 0; i < length; i++) {
       if (in.getByte(in.readerIndex() + i) != VERSION_PREFIX[i]) {
+        noiseBehindResponse = in.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
         in.skipBytes(in.readableBytes());
         betweenResponses = false;
         throw new DecoderException("response does not start with \"HTTP/1.\"");
--- a/src/main/java/merlinrouter/node/upstream/UpstreamConnection.java
+++ b/src/main/java/merlinrouter/node/upstream/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +46,15 @@
   /** Whether a response was received after which the connection may be reused. */
   private boolean reusable;
 
+  /**
+   * The response to {@link #attempt}, until all bytes that were read with it have been decoded;
+   * null without one.
+   */
+  private UpstreamResponse pendingResponse;
+
+  /** Whether its end was given by its length alone, which may be too small. */
+  private boolean endGivenByLength;
+
   private boolean quietPeriodOver = true;
   private long idleSinceNanos;
 
@@ -138,19 +148,38 @@
 
   @Override
   protected boolean expectsResponse() {
-    return attempt != null && attempt.isWritten();
+    return attempt != null && attempt.isWritten() && pendingResponse == null;
   }
 
   @Override
   protected void responseReceived(HttpResponse head, ByteBuf body) {
+    reusable = HttpUtil.isKeepAlive(head);
+    endGivenByLength = head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    pendingResponse = UpstreamResponse.of(head, body.retain(), maxChargedUnits);
+  }
+
+  /**
+   * Ends the attempt with its response. One that is followed by other bytes than another response
+   * may have been cut off by a length that does not fit; it is not passed on.
+   */
+  private void deliverPendingResponse() {
+    UpstreamResponse response = pendingResponse;
     Attempt completed = attempt;
+    pendingResponse = null;
     attempt = null;
     completed.detach();
-    reusable = HttpUtil.isKeepAlive(head);
-    if (!reusable) {
+    boolean mayBeCutOff =
+        response.outcome() == Outcome.OK && endGivenByLength && decoder.hasNoiseBehindResponse();
+    if (!reusable || mayBeCutOff) {
       channel.close();
     }
-    completed.end(UpstreamResponse.of(head, body, maxChargedUnits));
+    if (mayBeCutOff) {
+      logIncomplete(completed);
+      completed.connectionLost();
+    } else {
+      completed.end(response);
+    }
+    response.body().release();
   }
 
   /**
@@ -161,6 +190,9 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
     boolean betweenResponses = decoder.isBetweenResponses();
+    if (pendingResponse != null) {
+      deliverPendingResponse();
+    }
     if (attempt != null) {
       updateResponseTimeout(!betweenResponses && attempt.mayBeReplaced());
     } else if (!betweenResponses) {
@@ -196,19 +228,25 @@
   @Override
   protected void connectionFailed() {
     responseTimeout.stop();
-    if (attempt != null) {
-      log.request(
-          NodeLog.Event.RESPONSE_INCOMPLETE,
-          attempt.requestId(),
-          "from endpoint " + attempt.endpointId());
+    if (attempt != null && pendingResponse == null) {
+      logIncomplete(attempt);
     }
     if (pool != null) {
       pool.remove(this);
     }
     // Closed before the attempt ends: a retry must not start while this connection is open.
     channel.close();
-    if (attempt != null) {
+    if (pendingResponse != null) {
+      deliverPendingResponse();
+    } else if (attempt != null) {
       attempt.connectionLost();
     }
   }
+
+  private void logIncomplete(Attempt incomplete) {
+    log.request(
+        NodeLog.Event.RESPONSE_INCOMPLETE,
+        incomplete.requestId(),
+        "from endpoint " + incomplete.endpointId());
+  }
 }
