Count the wait in the backlog from its start where a poll accepts some and then fails

Netty ends a read before it reports the accept that failed in it: AcceptThrottle.channelReadComplete took the connections that the read did accept for all of the backlog, and exceptionCaught then counted the wait anew. Test: AcceptThrottleTest.connectionsWaitSinceTheFirstOfSeveralFailedAccepts failed before (500 for 100).

--- a/src/main/java/merlinrouter/node/downstream/AcceptThrottle.java
+++ b/src/main/java/merlinrouter/node/downstream/AcceptThrottle.java
@@ -32,6 +32,9 @@
   /** The earliest time at which one of these may have connected. */
   private long backloggedSinceNanos;
 
+  /** Whether the latest read ended the wait; an accept that fails is reported after its read. */
+  private boolean endedByLatestRead;
+
   private int acceptedInThisPoll;
   private boolean acceptedSinceCheckScheduled;
 
@@ -120,11 +123,13 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
     Channel listeningChannel = context.channel();
+    endedByLatestRead = false;
     MaxMessagesRecvByteBufAllocator allocator = listeningChannel.config().getRecvByteBufAllocator();
     if (acceptedInThisPoll >= allocator.maxMessagesPerRead()) {
       addBacklog(previousPollNanos.getAsLong());
       scheduleBacklogCheck(listeningChannel);
     } else if (acceptedInThisPoll > 0 && !isPaused(listeningChannel)) {
+      endedByLatestRead = backlogged;
       backlogged = false;
     }
     acceptedInThisPoll = 0;
@@ -134,6 +139,9 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     log.count(NodeLog.Event.ACCEPT_FAILED);
+    // The read did not empty the backlog after all.
+    backlogged |= endedByLatestRead;
+    endedByLatestRead = false;
     Channel listeningChannel = context.channel();
     pause(listeningChannel, previousPollNanos.getAsLong());
     listeningChannel
--- /dev/null
+++ b/src/test/java/merlinrouter/node/downstream/AcceptThrottleTest.java
@@ -0,0 +1,52 @@
+package merlinrouter.node.downstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicLong;
+import merlinrouter.node.logging.NodeLog;
+import org.junit.jupiter.api.Test;
+
+/** Tests since when connections that are accepted now may have waited in the backlog. */
+class AcceptThrottleTest {
+  private final AtomicLong previousPollNanos = new AtomicLong();
+  private final AcceptThrottle throttle =
+      new AcceptThrottle(NodeLog.silent(), previousPollNanos::get);
+  private final EmbeddedChannel listeningChannel = new EmbeddedChannel(throttle);
+
+  /** Ends a poll of the listening socket that accepts some connections and then fails. */
+  private void pollThatFails(int accepted) {
+    for (int i = 0; i < accepted; i++) {
+      listeningChannel.pipeline().fireChannelRead("connection");
+    }
+    // Netty reports the failure of an accept after the end of the read.
+    listeningChannel.pipeline().fireChannelReadComplete();
+    listeningChannel.pipeline().fireExceptionCaught(new IOException("accept failed"));
+  }
+
+  @Test
+  void connectionsWaitSinceTheFirstOfSeveralFailedAccepts() {
+    previousPollNanos.set(100);
+    pollThatFails(0);
+    throttle.resume(listeningChannel);
+    previousPollNanos.set(500);
+    pollThatFails(1);
+    previousPollNanos.set(900);
+    assertEquals(100, throttle.waitingSinceNanos());
+  }
+
+  @Test
+  void aPollThatAcceptsAllConnectionsEndsTheWait() {
+    previousPollNanos.set(100);
+    pollThatFails(0);
+    throttle.resume(listeningChannel);
+    listeningChannel.pipeline().fireChannelRead("connection");
+    listeningChannel.pipeline().fireChannelReadComplete();
+    previousPollNanos.set(500);
+    assertEquals(500, throttle.waitingSinceNanos());
+    pollThatFails(0);
+    previousPollNanos.set(900);
+    assertEquals(500, throttle.waitingSinceNanos());
+  }
+}
