Do not pause accepting after a failure behind accepted connections

Test: AcceptThrottleTest.aFailureBehindAcceptedConnectionsDoesNotPauseAccepting failed before.

A failure pauses only where the read accepted nothing, as with a full descriptor table.

--- a/src/main/java/merlinrouter/node/downstream/AcceptThrottle.java
+++ b/src/main/java/merlinrouter/node/downstream/AcceptThrottle.java
@@ -36,6 +36,7 @@
   private boolean endedByLatestRead;
 
   private int acceptedInThisPoll;
+  private int acceptedInLatestRead;
   private boolean acceptedSinceCheckScheduled;
 
   /** How many backlog checks are scheduled; each runs after a whole poll of the sockets. */
@@ -132,6 +133,7 @@
       endedByLatestRead = backlogged;
       backlogged = false;
     }
+    acceptedInLatestRead = acceptedInThisPoll;
     acceptedInThisPoll = 0;
     context.fireChannelReadComplete();
   }
@@ -143,6 +145,12 @@
     backlogged |= endedByLatestRead;
     endedByLatestRead = false;
     Channel listeningChannel = context.channel();
+    if (acceptedInLatestRead > 0 && !isPaused(listeningChannel)) {
+      // The failure does not persist; a pause for each would let a long backlog wait for seconds.
+      addBacklog(previousPollNanos.getAsLong());
+      scheduleBacklogCheck(listeningChannel);
+      return;
+    }
     pause(listeningChannel, previousPollNanos.getAsLong());
     listeningChannel
         .eventLoop()
--- a/src/test/java/merlinrouter/node/downstream/AcceptThrottleTest.java
+++ b/src/test/java/merlinrouter/node/downstream/AcceptThrottleTest.java
@@ -1,6 +1,8 @@
 package merlinrouter.node.downstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
@@ -36,6 +38,16 @@
     assertEquals(100, throttle.waitingSinceNanos());
   }
 
+  /** With a pause for each failure, a backlog of many connections waited for seconds. */
+  @Test
+  void aFailureBehindAcceptedConnectionsDoesNotPauseAccepting() {
+    pollThatFails(1);
+    assertFalse(throttle.isPaused(listeningChannel));
+    assertTrue(throttle.mayHaveUnacceptedConnections(listeningChannel));
+    pollThatFails(0);
+    assertTrue(throttle.isPaused(listeningChannel));
+  }
+
   @Test
   void aPollThatAcceptsAllConnectionsEndsTheWait() {
     previousPollNanos.set(100);
