--- a/emulator/src/main/java/merlinrouter/emulator/soak/DiscoveryOutageInjector.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/DiscoveryOutageInjector.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import merlinrouter.emulator.fleet.Fleet;
-import merlinrouter.emulator.peer.BackgroundThreads;
 import merlinrouter.emulator.peer.DiscoveryOutage;
 
 /**
@@ -52,8 +51,8 @@
   private final FaultLog log;
   private final SplittableRandom random;
   private final long maxOutageMillis;
-  private volatile boolean stopped;
-  private Thread thread;
+  private final InjectionThread thread =
+      new InjectionThread("discovery outages", this::injectSeries);
 
   /**
    * Creates an injector that does nothing until it is started.
@@ -80,24 +79,16 @@
 
   /** Starts to inject series of outages. */
   void start() {
-    thread = BackgroundThreads.start("discovery outages", this::run);
+    thread.start();
   }
 
   /** Stops the injection and waits for the series in progress. */
   void stop() throws InterruptedException {
-    stopped = true;
-    if (thread != null) {
-      thread.join();
-    }
-  }
-
-  private void run() throws IOException, InterruptedException {
-    while (!stopped) {
-      injectSeries(random.split());
-    }
+    thread.stop();
   }
 
-  private void injectSeries(SplittableRandom draws) throws IOException, InterruptedException {
+  private void injectSeries() throws IOException, InterruptedException {
+    SplittableRandom draws = random.split();
     DiscoveryOutage form = draw(DiscoveryOutage.values(), draws);
     injectOutage(form, draws.nextLong(MIN_OUTAGE_MILLIS, maxOutageMillis));
     disturbNode(draw(NodeEvent.values(), draws), draws);
--- a/emulator/src/main/java/merlinrouter/emulator/soak/ProcessFaultInjector.java
+++ b/emulator/src/main/java/merlinrouter/emulator/soak/ProcessFaultInjector.java
@@ -6,7 +6,6 @@
 import merlinrouter.emulator.fleet.Fleet;
 import merlinrouter.emulator.fleet.NodeTemplate;
 import merlinrouter.emulator.invariant.InvariantChecker;
-import merlinrouter.emulator.peer.BackgroundThreads;
 
 /**
  * Injects the faults of whole processes that a hard soak test adds, on a separate thread. They are
@@ -42,8 +41,7 @@
   private final FaultLog log;
   private final SplittableRandom random;
   private final List<ProcessFaultKind> kinds;
-  private volatile boolean stopped;
-  private Thread thread;
+  private final InjectionThread thread = new InjectionThread("process faults", this::injectNext);
 
   /**
    * Creates an injector that does nothing until it is started.
@@ -71,23 +69,18 @@
 
   /** Starts to inject faults. */
   void start() {
-    thread = BackgroundThreads.start("process faults", this::run);
+    thread.start();
   }
 
   /** Stops the injection of faults and waits for the fault in progress. */
   void stop() throws InterruptedException {
-    stopped = true;
-    if (thread != null) {
-      thread.join();
-    }
+    thread.stop();
   }
 
-  private void run() throws IOException, InterruptedException {
-    while (!stopped) {
-      Thread.sleep(random.nextLong(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS));
-      ProcessFaultKind kind = kinds.get(random.nextInt(kinds.size()));
-      inject(kind, random.nextInt(fleet.nodes().size()), random.split());
-    }
+  private void injectNext() throws IOException, InterruptedException {
+    Thread.sleep(random.nextLong(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS));
+    ProcessFaultKind kind = kinds.get(random.nextInt(kinds.size()));
+    inject(kind, random.nextInt(fleet.nodes().size()), random.split());
   }
 
   /** Injects one fault. The number of its draws does not change the draws of later faults. */
