Let WarmUpTest pass over log lines of watches before the line of serving

The test's claim is the order of warm-up and serving; that no other line lies between them was an accident of a node that logged nothing by then.

Change: between the two lines, lines about watches are allowed, and no others: any other line, or the end of the output, fails the test as before.

--- a/src/test/java/merlinrouter/node/NodeProcess.java
+++ b/src/test/java/merlinrouter/node/NodeProcess.java
@@ -27,6 +27,10 @@
   static final String SERVING = "serving on ";
 
   static final String WARMED_UP = "warmed up with ";
+
+  /** Starts the lines of the log about watches of the endpoint list. */
+  static final String WATCH = "watch ";
+
   static final String RELOAD_POSTPONED = "configuration reload postponed";
   static final String RELOAD_FAILED =
       "configuration reload failed, the previous configuration stays in effect";
