Record successes after more than 2^31 of them

What a caller saw: after 2^31 successes and health checks of one node (25 days at 1,000 a second) each later success threw; its request stayed open until its deadline and its customer's slot was never released.

Cause: RecentEndpoints.recordedCount was an int that only grew; past its maximum its remainder is negative, and no index of the ring.

Change: the index of the next entry wraps at the ring's capacity.

Everything else that is incremented or compared was read.

--- a/src/main/java/merlinrouter/loadbalancing/RecentEndpoints.java
+++ b/src/main/java/merlinrouter/loadbalancing/RecentEndpoints.java
@@ -10,11 +10,11 @@
   private static final int CAPACITY = 6;
 
   private final EndpointTracker[] trackers = new EndpointTracker[CAPACITY];
-  private int recordedCount;
+  private int nextIndex;
 
   void record(EndpointTracker tracker) {
-    trackers[recordedCount % CAPACITY] = tracker;
-    recordedCount++;
+    trackers[nextIndex] = tracker;
+    nextIndex = (nextIndex + 1) % CAPACITY;
   }
 
   /** Adds the recent endpoints that take requests; one that was recorded repeatedly repeats. */
