End a request with one response, and release it, whatever its handling throws

What a caller saw: after an unexpected exception in the handling of an event, a request was answered 502 at its deadline or never, its customer's slot and its place in the concurrency level stayed taken until a restart, and a drain waited for it.

Cause: only RuntimeExceptions thrown within the gateway were caught. Errors, exceptions before an event and in the failure handler went to the event loop. An exception thrown by an action left the gateway between two states, and 'client disconnected', by which the host gave the request up, waits for the end of an attempt that had ended, or had never begun. An attempt whose start threw never ended.

Change: each step that handles a request ends it when it throws: with 429 or 503 if nothing was sent to an endpoint, else with 500. Gateway.discard releases queue place, slots and reservation from any state. A failed start ends its attempt, as a reset if the request may have been written. A step that throws at each timer no longer keeps queued requests from being started; the end of a counter call is passed on whatever its records throw.

--- a/src/main/java/merlinrouter/gateway/Gateway.java
+++ b/src/main/java/merlinrouter/gateway/Gateway.java
@@ -170,10 +170,7 @@
       return;
     }
     switch (pending.state()) {
-      case AWAITING_COUNTER -> {
-        pending.transitionTo(RequestState.ABANDONED_AWAITING_COUNTER);
-        pending.reservation().abandon();
-      }
+      case AWAITING_COUNTER -> pending.abandonAwaitingCounter();
       case IN_FLIGHT -> pending.transitionTo(RequestState.ABANDONED_IN_FLIGHT);
       case QUEUED -> {
         pending.queue().remove(pending);
@@ -185,6 +182,27 @@
     }
   }
 
+  /**
+   * Stops tracking a request that the host has ended itself, for example because an event of it
+   * threw an exception, and releases what it holds: its quota, its slot among the customer's
+   * requests and its place in the queue. Does nothing if it is not tracked.
+   *
+   * @param attemptInFlight whether the end of an attempt is still to be reported
+   */
+  public void discard(long nowNanos, String requestId, boolean attemptInFlight) {
+    clock.advanceTo(nowNanos);
+    PendingRequest pending = dispatcher.get(requestId);
+    if (pending == null) {
+      return;
+    }
+    if (attemptInFlight) {
+      clientDisconnected(nowNanos, requestId);
+    } else {
+      dispatcher.discard(pending);
+    }
+    dispatcher.dispatchQueued();
+  }
+
   @Override
   public void counterCallEnded(long nowNanos, long counterKey, Outcome outcome, double total) {
     clock.advanceTo(nowNanos);
@@ -208,14 +226,18 @@
   public void timerFired(long nowNanos, long token) {
     clock.advanceTo(nowNanos);
     actions.scheduleTimer(TIMER_TOKEN, TIMER_INTERVAL_NANOS);
-    dispatcher.giveUpExpired();
-    quotas.decideOverdueAdmissions();
-    quotas.reportUse();
-    if (controlIntervals.hasEnded(nowNanos)) {
-      endControlInterval();
-      quotas.dropDisposableAccounts();
+    try {
+      dispatcher.giveUpExpired();
+      quotas.decideOverdueAdmissions();
+      quotas.reportUse();
+      if (controlIntervals.hasEnded(nowNanos)) {
+        endControlInterval();
+        quotas.dropDisposableAccounts();
+      }
+    } finally {
+      // A step that throws at each timer must not keep the queued requests from being started.
+      dispatcher.dispatchQueued();
     }
-    dispatcher.dispatchQueued();
   }
 
   private void endControlInterval() {
--- a/src/main/java/merlinrouter/gateway/PendingRequest.java
+++ b/src/main/java/merlinrouter/gateway/PendingRequest.java
@@ -35,6 +35,9 @@
 
   private long attemptStartedAtNanos;
 
+  /** Whether the attempt in flight counts in the concurrency limiter. */
+  private boolean holdsSlot;
+
   PendingRequest(
       ClientRequest request,
       ClassQueue<PendingRequest> queue,
@@ -143,11 +146,35 @@
     return endpoint;
   }
 
+  /**
+   * Records that the client has disconnected, or is owed no response any more, while the decision
+   * on the admission waits for the counter.
+   */
+  void abandonAwaitingCounter() {
+    if (state == RequestState.RECEIVED) {
+      transitionTo(RequestState.AWAITING_COUNTER);
+    }
+    transitionTo(RequestState.ABANDONED_AWAITING_COUNTER);
+    reservation.abandon();
+  }
+
   /** Returns whether an attempt is in flight. */
   boolean hasAttemptInFlight() {
     return endpoint != null;
   }
 
+  /** Records that a slot of the concurrency limiter is taken for an attempt. */
+  void takeSlot() {
+    holdsSlot = true;
+  }
+
+  /** Returns whether a slot of the concurrency limiter is held, and marks it as given back. */
+  boolean giveBackSlot() {
+    boolean held = holdsSlot;
+    holdsSlot = false;
+    return held;
+  }
+
   /** Returns the input of the retry policy after an attempt with the given outcome. */
   RetryCandidate asRetryCandidate(Outcome lastOutcome) {
     return new RetryCandidate(
--- a/src/main/java/merlinrouter/gateway/RequestDispatcher.java
+++ b/src/main/java/merlinrouter/gateway/RequestDispatcher.java
@@ -156,6 +156,7 @@
     pending.attemptStarted(endpoint, clock.nowNanos());
     loadBalancer.attemptStarted(endpoint, pending);
     concurrencyLimiter.acquire();
+    pending.takeSlot();
     long timeoutNanos =
         deadlinePolicy.attemptTimeoutNanos(
             pending.requestClass(), pending.objectiveAtNanos(), pending.request().deadlineNanos());
@@ -164,7 +165,7 @@
 
   /** Records the result of an attempt, then retries or closes the request. */
   void completeAttempt(PendingRequest pending, AttemptResult result) {
-    concurrencyLimiter.release(result.durationNanos());
+    releaseSlot(pending, result.durationNanos());
     loadBalancer.attemptEnded(pending.endpoint(), pending, result);
     pending.statistics().recordAttempt(pending.sample(result, clock.nowNanos()));
     settleUnits(pending, result);
@@ -176,6 +177,30 @@
     }
   }
 
+  private void releaseSlot(PendingRequest pending, long attemptDurationNanos) {
+    if (pending.giveBackSlot()) {
+      concurrencyLimiter.release(attemptDurationNanos);
+    }
+  }
+
+  /**
+   * Releases all that a request holds, whose handling an exception has interrupted at any point. No
+   * attempt of it is in flight.
+   */
+  void discard(PendingRequest pending) {
+    pending.queue().remove(pending);
+    releaseSlot(pending, 0);
+    if (pending.hasAttemptInFlight()) {
+      loadBalancer.attemptDiscarded(pending.endpoint(), pending);
+    }
+    if (!pending.reservation().isAwaitingCounter()) {
+      close(pending);
+    } else if (!pending.state().isAbandoned()) {
+      // The end of the call closes it.
+      pending.abandonAwaitingCounter();
+    }
+  }
+
   private void settleUnits(PendingRequest pending, AttemptResult result) {
     boolean actualUnitsKnown = reportsActualUnits && result.actualUnits() > 0;
     if (actualUnitsKnown && result.outcome() == Outcome.OK) {
--- a/src/main/java/merlinrouter/loadbalancing/LoadBalancer.java
+++ b/src/main/java/merlinrouter/loadbalancing/LoadBalancer.java
@@ -102,6 +102,11 @@
     tracker.attemptStarted(request);
   }
 
+  /** Removes an attempt from those in flight without a result; does nothing if it is removed. */
+  public void attemptDiscarded(EndpointTracker tracker, BalancedRequest request) {
+    tracker.attemptEnded(request);
+  }
+
   /**
    * Updates the statistics with an attempt that has ended. An attempt that was cancelled or never
    * sent is not counted, as it shows nothing about the endpoint.
--- a/src/main/java/merlinrouter/node/EventDelivery.java
+++ b/src/main/java/merlinrouter/node/EventDelivery.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.function.LongConsumer;
 import merlinrouter.node.logging.ErrorLog;
+import merlinrouter.node.logging.NodeLog;
 
 /**
  * Delivers events to the gateway one at a time. The gateway is not reentrant, but sockets may
@@ -14,6 +15,7 @@
 
   private final EventLoop loop;
   private final NodeClock clock;
+  private final NodeLog log;
   private final Runnable beforeEvent;
   private boolean preparing;
   private boolean delivering;
@@ -22,12 +24,14 @@
   /**
    * Creates a delivery.
    *
+   * @param log counts the events that throw an exception
    * @param beforeEvent runs before each event, while none is being delivered; does not run before
    *     the events that it delivers itself
    */
-  EventDelivery(EventLoop loop, NodeClock clock, Runnable beforeEvent) {
+  EventDelivery(EventLoop loop, NodeClock clock, NodeLog log, Runnable beforeEvent) {
     this.loop = loop;
     this.clock = clock;
+    this.log = log;
     this.beforeEvent = beforeEvent;
   }
 
@@ -39,8 +43,8 @@
   /**
    * Delivers an event, which is passed the current time by the gateway's clock.
    *
-   * @param onFailure runs if the event throws an exception, which is logged and not rethrown,
-   *     because a failure in one request's event must not end the process
+   * @param onFailure runs if the event throws an exception or error, which is logged and not
+   *     rethrown, because a failure in one event must not keep others from being handled
    */
   void deliver(LongConsumer event, Runnable onFailure) {
     if (delivering) {
@@ -50,24 +54,33 @@
     prepare();
     delivering = true;
     eventStartedAtNanos = clock.nowNanos();
-    try {
-      event.accept(eventStartedAtNanos);
-    } catch (RuntimeException e) {
-      ErrorLog.report("gateway failed to handle an event", e);
-      onFailure.run();
-    } finally {
-      delivering = false;
-    }
+    run(() -> event.accept(eventStartedAtNanos), onFailure);
+    delivering = false;
   }
 
   private void prepare() {
     if (!preparing) {
       preparing = true;
-      try {
-        beforeEvent.run();
-      } finally {
-        preparing = false;
+      run(beforeEvent, NO_OP);
+      preparing = false;
+    }
+  }
+
+  /**
+   * Runs a step in the handling of an event. If it throws an exception or error, that is logged and
+   * not rethrown.
+   *
+   * @param onFailure runs in that case; what it throws is logged as well
+   */
+  void run(Runnable step, Runnable onFailure) {
+    try {
+      step.run();
+    } catch (Throwable cause) {
+      ErrorLog.report("failed to handle an event", cause);
+      if (onFailure != NO_OP) {
+        run(onFailure, NO_OP);
       }
+      log.count(NodeLog.Event.EVENT_FAILED);
     }
   }
 
--- a/src/main/java/merlinrouter/node/GatewayHost.java
+++ b/src/main/java/merlinrouter/node/GatewayHost.java
@@ -76,7 +76,7 @@
     this.budget = budget;
     this.guard = guard;
     this.responseTimes = responseTimes;
-    events = new EventDelivery(loop, clock, this::failExpired);
+    events = new EventDelivery(loop, clock, log, this::failExpired);
     upstreamPool = new UpstreamPool(this, loop, config, log, responseDecoding);
     counterClient = new CounterClient(this::counterCallEnded, loop, config);
   }
@@ -113,6 +113,11 @@
     if (replayCache.forbids(request) || openRequests.putIfAbsent(request.id(), request) != null) {
       return false;
     }
+    endOnError(request, () -> open(request));
+    return true;
+  }
+
+  private void open(OpenRequest request) {
     long overdueAtNanos = request.clientRequest().deadlineNanos() + OVERDUE_NANOS;
     request.setOverdueTimer(
         loop.schedule(
@@ -120,11 +125,10 @@
             Math.max(0, overdueAtNanos - clock.nowNanos()),
             TimeUnit.NANOSECONDS));
     budget.change(request.body().readableBytes());
-    deliverOrFail(request, now -> gateway.requestReceived(now, request.clientRequest()));
+    deliverOrEnd(request, now -> gateway.requestReceived(now, request.clientRequest()));
     if (!request.isResponded()) {
       clientDeadlines.add(request);
     }
-    return true;
   }
 
   /**
@@ -142,25 +146,33 @@
 
   /** Fails a request that the gateway has not responded to, because each is owed a response. */
   private void failOverdue(OpenRequest request) {
+    endOnError(request, () -> failIfOwed(request));
+  }
+
+  private void failIfOwed(OpenRequest request) {
     if (!request.isResponded()) {
       String attempt = request.isAttemptInFlight() ? "one in flight" : "none in flight";
       log.request(
           NodeLog.Event.OVERDUE, request.id(), request.attempts() + " attempts, " + attempt);
       fail(request);
-      events.deliver(now -> stopTracking(request, now));
+      discard(request);
     }
   }
 
   /** Records that the client of an open request disconnected. */
   void clientDisconnected(OpenRequest request) {
     if (request.takeResponseSink() != null) {
-      clientDeadlines.remove(request);
-      log.count(NodeLog.Event.CLIENT_DISCONNECTED);
-      removeIfEnded(request);
-      deliverOrFail(request, now -> gateway.clientDisconnected(now, request.id()));
+      endOnError(request, () -> abandon(request));
     }
   }
 
+  private void abandon(OpenRequest request) {
+    clientDeadlines.remove(request);
+    log.count(NodeLog.Event.CLIENT_DISCONNECTED);
+    removeIfEnded(request);
+    deliverOrEnd(request, now -> gateway.clientDisconnected(now, request.id()));
+  }
+
   /** Notifies the gateway of an update of the endpoint list. */
   void endpointsUpdated(EndpointUpdateType type, List<Endpoint> endpoints) {
     events.deliver(now -> gateway.endpointsUpdated(now, type, endpoints));
@@ -171,7 +183,7 @@
     OpenRequest request = attempt.request();
     request.endAttempt(attempt.outcome(), clock.nowNanos() - attempt.durationNanos());
     if (attempt.outcome() == Outcome.OK) {
-      respond(request, sink -> sink.served(attempt.body()));
+      endOnError(request, () -> respond(request, sink -> sink.served(attempt.body())));
     }
     AttemptResult result =
         new AttemptResult(
@@ -183,7 +195,7 @@
             request.attempts() - 1,
             attempt.chargedUnits(),
             List.of());
-    deliverOrFail(request, now -> gateway.attemptEnded(now, result));
+    deliverOrEnd(request, now -> gateway.attemptEnded(now, result));
     removeIfEnded(request);
   }
 
@@ -193,25 +205,38 @@
             gateway.counterCallEnded(now, result.counterKey(), result.outcome(), result.total()));
   }
 
-  /**
-   * Delivers an event of a request. If it throws an exception, the request is failed and the
-   * gateway stops tracking it.
-   */
-  private void deliverOrFail(OpenRequest request, LongConsumer event) {
-    events.deliver(
-        event,
-        () -> {
-          fail(request);
-          loop.execute(() -> events.deliver(now -> stopTracking(request, now)));
-        });
+  /** Delivers an event of a request, which ends with an error if the event throws an exception. */
+  private void deliverOrEnd(OpenRequest request, LongConsumer event) {
+    events.deliver(event, () -> endWithError(request));
+  }
+
+  /** Runs a step in the handling of a request, which ends with an error if the step throws one. */
+  private void endOnError(OpenRequest request, Runnable step) {
+    events.run(step, () -> endWithError(request));
   }
 
   /**
-   * Makes the gateway stop tracking a request that the host has failed itself; the end of an
-   * attempt in flight is still reported. The gateway handles this as a disconnect of the client.
+   * Ends a request in whose handling an exception was thrown: rejects it if nothing of it was sent
+   * to an endpoint, and fails it otherwise.
    */
-  private void stopTracking(OpenRequest request, long nowNanos) {
-    gateway.clientDisconnected(nowNanos, request.id());
+  private void endWithError(OpenRequest request) {
+    discard(request);
+    boolean neverSent = request.attempts() == 0;
+    respond(request, sink -> sendError(sink, neverSent));
+    removeIfEnded(request);
+  }
+
+  private static void sendError(ResponseSink sink, boolean neverSent) {
+    if (neverSent) {
+      sink.rejected(0);
+    } else {
+      sink.failedInternally();
+    }
+  }
+
+  /** Makes the gateway stop tracking a request that the host ends itself. */
+  private void discard(OpenRequest request) {
+    events.deliver(now -> gateway.discard(now, request.id(), request.isAttemptInFlight()));
   }
 
   /** Removes a request if no response is owed any more and no attempt is in flight. */
@@ -232,17 +257,28 @@
       reportNotSent(requestId, endpointId, true);
       return;
     }
+    events.run(
+        () -> startAttempt(request, endpointId, timeoutNanos),
+        () -> {
+          if (!request.isAttemptInFlight()) {
+            reportNotSent(requestId, endpointId, true);
+          }
+          endWithError(request);
+        });
+  }
+
+  private void startAttempt(OpenRequest request, String endpointId, long timeoutNanos) {
     if (!request.isAttemptInFlight() && !request.readAndCheckClientWaiting()) {
       // The client has disconnected, or may have done so undetected: no attempt is started.
       fail(request);
     }
     if (request.isResponded()) {
       log.count(NodeLog.Event.ATTEMPT_SKIPPED);
-      reportNotSent(requestId, endpointId, true);
+      reportNotSent(request.id(), endpointId, true);
       return;
     }
     if (!mayStartAttempt(request)) {
-      reportNotSent(requestId, endpointId, false);
+      reportNotSent(request.id(), endpointId, false);
       return;
     }
     if (request.attempts() > 0) {
@@ -273,7 +309,13 @@
   @Override
   public void reject(String requestId, long retryAfterNanos) {
     OpenRequest request = openRequests.get(requestId);
-    if (request != null && respond(request, sink -> sink.rejected(retryAfterNanos))) {
+    if (request != null) {
+      endOnError(request, () -> reject(request, retryAfterNanos));
+    }
+  }
+
+  private void reject(OpenRequest request, long retryAfterNanos) {
+    if (respond(request, sink -> sink.rejected(retryAfterNanos))) {
       log.count(NodeLog.Event.REJECTED);
       removeIfEnded(request);
     }
@@ -283,7 +325,7 @@
   public void fail(String requestId) {
     OpenRequest request = openRequests.get(requestId);
     if (request != null) {
-      fail(request);
+      endOnError(request, () -> fail(request));
     }
   }
 
--- a/src/main/java/merlinrouter/node/downstream/ClientResponseSink.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientResponseSink.java
@@ -35,6 +35,11 @@
     connection.respond(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
   }
 
+  @Override
+  public void failedInternally() {
+    connection.respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, Unpooled.EMPTY_BUFFER, 0);
+  }
+
   @Override
   public boolean readAndCheckDisconnected() {
     return presence.readAndCheckDisconnected();
--- a/src/main/java/merlinrouter/node/logging/NodeLog.java
+++ b/src/main/java/merlinrouter/node/logging/NodeLog.java
@@ -9,7 +9,7 @@
  * in which they have changed, and separate lines for events that need more detail, such as a
  * request id. Used on the event loop only.
  */
-public final class NodeLog {
+public class NodeLog {
   /** The counted events; the log contains the names of these constants. */
   public enum Event {
     /** Accepting a client connection failed in this process. */
@@ -36,6 +36,8 @@
     OVERDUE,
     /** A final response was written after its client's own deadline. */
     RESPONDED_LATE,
+    /** The handling of an event threw an exception, which is reported on standard error. */
+    EVENT_FAILED,
     /** The event loop was stalled for longer than the rules of the service allow for. */
     EVENT_LOOP_STALLED,
     /** The wall clock stepped. */
--- a/src/main/java/merlinrouter/node/request/OpenRequest.java
+++ b/src/main/java/merlinrouter/node/request/OpenRequest.java
@@ -158,7 +158,9 @@
 
   /** Releases the body and cancels the timer; the request must not be used after this. */
   public void release() {
-    overdueTimer.cancel(false);
+    if (overdueTimer != null) {
+      overdueTimer.cancel(false);
+    }
     body.release();
   }
 }
--- a/src/main/java/merlinrouter/node/request/ResponseSink.java
+++ b/src/main/java/merlinrouter/node/request/ResponseSink.java
@@ -17,6 +17,9 @@
   /** Sends a failure, after which it is unknown whether the request had an effect. */
   void failed();
 
+  /** Sends a failure of this node, after which it is unknown whether the request had an effect. */
+  void failedInternally();
+
   /**
    * Reads the client's connection, and returns whether the client has disconnected or may have done
    * so undetected.
--- a/src/main/java/merlinrouter/node/upstream/Attempt.java
+++ b/src/main/java/merlinrouter/node/upstream/Attempt.java
@@ -97,6 +97,19 @@
     end(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
   }
 
+  /**
+   * Ends this attempt because an exception was thrown while it was started. A request that has been
+   * passed to a connection may have been written.
+   */
+  void startFailed() {
+    if (connection != null) {
+      connection.close();
+      end(Outcome.RESET);
+    } else {
+      end(Outcome.CONNECT_FAILED);
+    }
+  }
+
   private void timeOut() {
     if (connection != null) {
       connection.close();
--- a/src/main/java/merlinrouter/node/upstream/UpstreamConnection.java
+++ b/src/main/java/merlinrouter/node/upstream/UpstreamConnection.java
@@ -13,6 +13,7 @@
 import merlinrouter.node.http.ResponseDecoder;
 import merlinrouter.node.http.ResponseHandler;
 import merlinrouter.node.http.ServiceProtocol;
+import merlinrouter.node.logging.ErrorLog;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.transport.EventLoops;
 import merlinrouter.node.transport.ProgressTimeout;
@@ -125,6 +126,15 @@
     }
     attempt = next;
     next.attach(this);
+    try {
+      writeRequest(next);
+    } catch (Throwable cause) {
+      ErrorLog.report("cannot write a request", cause);
+      next.startFailed();
+    }
+  }
+
+  private void writeRequest(Attempt next) {
     channel
         .writeAndFlush(next.toHttpRequest())
         .addListener(
@@ -175,8 +185,8 @@
     }
     try {
       if (mayBeCutOff) {
-        logIncomplete(completed);
         completed.connectionLost();
+        logIncomplete(completed);
       } else {
         completed.end(response);
       }
@@ -231,9 +241,6 @@
   @Override
   protected void connectionFailed() {
     responseTimeout.stop();
-    if (attempt != null && pendingResponse == null) {
-      logIncomplete(attempt);
-    }
     if (pool != null) {
       pool.remove(this);
     }
@@ -242,7 +249,9 @@
     if (pendingResponse != null) {
       deliverPendingResponse();
     } else if (attempt != null) {
-      attempt.connectionLost();
+      Attempt incomplete = attempt;
+      incomplete.connectionLost();
+      logIncomplete(incomplete);
     }
   }
 
--- a/src/main/java/merlinrouter/node/upstream/UpstreamPool.java
+++ b/src/main/java/merlinrouter/node/upstream/UpstreamPool.java
@@ -8,6 +8,7 @@
 import merlinrouter.node.config.EndpointList;
 import merlinrouter.node.config.NodeConfig;
 import merlinrouter.node.http.DecodingScheduler;
+import merlinrouter.node.logging.ErrorLog;
 import merlinrouter.node.logging.NodeLog;
 import merlinrouter.node.request.OpenRequest;
 
@@ -84,7 +85,16 @@
    */
   public void send(OpenRequest request, String endpointId, long timeoutNanos) {
     Attempt attempt = new Attempt(request, endpointId, timeoutNanos, listener);
-    EndpointPool pool = pools.get(endpointId);
+    try {
+      start(attempt);
+    } catch (Throwable cause) {
+      ErrorLog.report("cannot start an attempt", cause);
+      loop.execute(attempt::startFailed);
+    }
+  }
+
+  private void start(Attempt attempt) {
+    EndpointPool pool = pools.get(attempt.endpointId());
     UpstreamConnection connection = pool == null ? null : acquire(pool);
     if (pool == null || connection == null && !makeRoom()) {
       loop.execute(() -> attempt.end(Outcome.NOT_SENT));
--- a/src/main/java/merlinrouter/quota/CounterCalls.java
+++ b/src/main/java/merlinrouter/quota/CounterCalls.java
@@ -57,15 +57,17 @@
   }
 
   /** Removes and returns the call that ended; null if no call with this key is in flight. */
-  CounterCall end(long counterKey, Outcome outcome) {
+  CounterCall remove(long counterKey) {
     ArrayDeque<CounterCall> calls = callsByKey.get(counterKey);
     CounterCall call = calls == null ? null : calls.poll();
-    if (call == null) {
-      return null;
-    }
-    if (calls.isEmpty()) {
+    if (call != null && calls.isEmpty()) {
       callsByKey.remove(counterKey);
     }
+    return call;
+  }
+
+  /** Records how a call ended. */
+  void recordEnd(CounterCall call, Outcome outcome) {
     rateLimiter.callEnded(outcome, clock.nanosSince(call.startedAtNanos()), timeoutNanos);
     if (health.recordCall(outcome == Outcome.OK)) {
       log.accept(
@@ -73,7 +75,6 @@
               ? "shared counter does not answer: quotas are divided among the gateways"
               : "shared counter answers again");
     }
-    return call;
   }
 
   /** Passes each call to the action that the host should have ended at least one timeout ago. */
--- a/src/main/java/merlinrouter/quota/QuotaAccount.java
+++ b/src/main/java/merlinrouter/quota/QuotaAccount.java
@@ -242,6 +242,14 @@
   /** Updates the estimate by a call that ended, and decides on the request that waited for it. */
   void callEnded(CounterCall call, Outcome outcome, double total) {
     callsInFlight--;
+    try {
+      updateEstimate(call, outcome, total);
+    } finally {
+      decideAfterCall(call, outcome == Outcome.OK);
+    }
+  }
+
+  private void updateEstimate(CounterCall call, Outcome outcome, double total) {
     boolean currentWindow = estimate.isCurrentWindow(call.window());
     if (outcome.provesNotExecuted()) {
       unreportedUnits += call.units();
@@ -255,7 +263,6 @@
     if (outcome == Outcome.OK && currentWindow) {
       estimate.applyTotal(call.units(), total, unreportedUnits, planUsage.reportedFraction());
     }
-    decideAfterCall(call, outcome == Outcome.OK);
   }
 
   /**
--- a/src/main/java/merlinrouter/quota/QuotaManager.java
+++ b/src/main/java/merlinrouter/quota/QuotaManager.java
@@ -107,11 +107,15 @@
 
   /** Handles the end of a call to the counter; returns whether such a call was in flight. */
   public boolean counterCallEnded(long counterKey, Outcome outcome, double total) {
-    CounterCall call = calls.end(counterKey, outcome);
+    CounterCall call = calls.remove(counterKey);
     if (call == null) {
       return false;
     }
-    call.account().callEnded(call, outcome, total);
+    try {
+      calls.recordEnd(call, outcome);
+    } finally {
+      call.account().callEnded(call, outcome, total);
+    }
     return true;
   }
 
--- a/src/main/java/merlinrouter/quota/QuotaReservation.java
+++ b/src/main/java/merlinrouter/quota/QuotaReservation.java
@@ -141,7 +141,7 @@
   }
 
   /** Returns whether the decision waits for the counter, also if the client has disconnected. */
-  boolean isAwaitingCounter() {
+  public boolean isAwaitingCounter() {
     return state == State.AWAITING_COUNTER || state == State.ABANDONED;
   }
 }
--- a/src/test/java/merlinrouter/gateway/SimulatedHost.java
+++ b/src/test/java/merlinrouter/gateway/SimulatedHost.java
@@ -46,6 +46,7 @@
   private final int gatewayCount;
   private final boolean healthChecks;
   private int requestCount;
+  private boolean failsAttemptStart;
 
   /** Starts a gateway with a shared counter and without health checks. */
   SimulatedHost(QuotaPlan plan, int gatewayCount, int gatewayNumber) {
@@ -159,8 +160,17 @@
     }
   }
 
+  /** Makes the next start of an attempt throw an exception. */
+  void failNextAttemptStart() {
+    failsAttemptStart = true;
+  }
+
   @Override
   public void startAttempt(String requestId, String endpointId, long timeoutNanos) {
+    if (failsAttemptStart) {
+      failsAttemptStart = false;
+      throw new IllegalStateException("thrown by the test");
+    }
     attempts.add(new Attempt(requestId, endpointId, timeoutNanos));
   }
 
--- a/src/test/java/merlinrouter/node/EventLoopFixture.java
+++ b/src/test/java/merlinrouter/node/EventLoopFixture.java
@@ -165,6 +165,11 @@
       response.complete("failed");
     }
 
+    @Override
+    public void failedInternally() {
+      response.complete("failed internally");
+    }
+
     @Override
     public boolean readAndCheckDisconnected() {
       return false;
