Respond with 500 if a request that was read meets an exception before it is open

What a caller saw: the connection ended without a response, or stayed open without one for as long as the client waited.

Cause: exceptions of the pipeline closed the connection whatever had been read; those of the task that handles a request went to the event loop, which logs and forgets them.

Change: after an error of the node itself, a request that is being received, or has been, is answered with 500, and an open request is answered before the connection closes. A request counts as being received until it is open. The timeout of receiving has a class of its own.

Evidence: ClientErrorTest throws in acceptance, parsing and the health check; before, the first got nothing in 20 s and the others the end of the connection.

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 import merlinrouter.node.http.DecodingScheduler;
 import merlinrouter.node.http.DecodingShare;
 import merlinrouter.node.logging.ErrorLog;
@@ -28,11 +27,10 @@
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject>
     implements TrackedConnection {
-  /**
-   * How long a request may take to be decoded once its time to be received is over. With that time
-   * and the interval of the checks it is rejected within 3 s of the accept.
-   */
-  private static final long DECODING_GRACE_MILLIS = 100;
+  /** A step in the handling of what a client has sent. */
+  private interface Step {
+    void run() throws Exception;
+  }
 
   private final Channel channel;
   private final RequestHandler handler;
@@ -47,6 +45,7 @@
   private final HealthCheck healthCheck;
   private final RequestSubmitter submitter;
   private final ResponseWriter responses;
+  private final ReceiveTimeout receiveTimeout;
   private boolean keepAlive;
 
   /** Creates the handler of an accepted connection; call {@link #configurePipeline} next. */
@@ -63,13 +62,14 @@
     this.registry = registry;
     this.acceptThrottle = acceptThrottle;
     presence = new ClientPresence(channel, acceptThrottle.waitingSinceNanos());
-    decodingShare = decodingScheduler.newShare(this::continueDecoding);
+    decodingShare = decodingScheduler.newShare(() -> run(this::continueDecoding));
     reading = new ReadControl(channel, presence, decodingShare, handler::previousPollNanos);
     decoder = new RequestDecoder(decodingShare, this::bytesDecoded, reading::earliestArrivalNanos);
     assembler = new RequestAssembler(budget);
     healthCheck = new HealthCheck(handler, registry);
     submitter = new RequestSubmitter(handler, parser, state);
     responses = new ResponseWriter(channel);
+    receiveTimeout = new ReceiveTimeout(this, state, decodingShare, channel.eventLoop());
   }
 
   /** Adds the codec and this handler to the channel's pipeline. */
@@ -148,14 +148,18 @@
     return !decoder.isPaused() || !assembler.hasTooManyPipelinedBytes(decoder.undecodedBytes());
   }
 
-  private void continueDecoding() {
-    if (state.isClosing() || !channel.isActive()) {
-      return;
+  private void continueDecoding() throws Exception {
+    if (!state.isClosing() && channel.isActive()) {
+      decoder.decodeReceived();
     }
+  }
+
+  /** Runs a step outside the pipeline, whose exceptions are handled like those of the pipeline. */
+  private void run(Step step) {
     try {
-      decoder.decodeReceived();
-    } catch (Exception e) {
-      closeOnError(e);
+      step.run();
+    } catch (Throwable cause) {
+      handleError(cause);
     }
   }
 
@@ -167,41 +171,12 @@
   public void enforceTimeouts() {
     long nowNanos = System.nanoTime();
     if (state.isReceiveTimedOut(nowNanos)) {
-      rejectUnlessReceived();
+      receiveTimeout.rejectUnlessReceived();
     } else if (state.isIdleTimedOut(nowNanos)) {
       initiateClose("idle timeout");
     }
   }
 
-  /**
-   * Rejects the request that is being received, unless the rest of it has arrived by now. If
-   * received bytes are still to be decoded, it may continue for a short time.
-   */
-  private void rejectUnlessReceived() {
-    if (readAndCheckRequestArrived() || state.isClosing()) {
-      return;
-    }
-    if (decodingShare.isExhausted()) {
-      channel
-          .eventLoop()
-          .schedule(this::rejectIfTimedOut, DECODING_GRACE_MILLIS, TimeUnit.MILLISECONDS);
-    } else {
-      rejectTimedOut();
-    }
-  }
-
-  private void rejectIfTimedOut() {
-    if (state.isReceiveTimedOut(System.nanoTime()) && !isRequestComplete()) {
-      rejectTimedOut();
-    }
-  }
-
-  private void rejectTimedOut() {
-    rejectAndClose(
-        new InvalidRequestException(
-            HttpResponseStatus.REQUEST_TIMEOUT, "the request takes too long to come"));
-  }
-
   @Override
   public boolean initiateClose(String reason) {
     if (readAndCheckRequestArrived() || !handler.guard().mayClose(state.openRequest(), reason)) {
@@ -223,7 +198,7 @@
    * that is being received, has arrived; it may still be to be decoded. The event loop may have
    * stalled since it last polled its sockets.
    */
-  private boolean readAndCheckRequestArrived() {
+  boolean readAndCheckRequestArrived() {
     if (!state.mayReceive()) {
       return false;
     }
@@ -239,7 +214,7 @@
   }
 
   /** Returns whether a whole request is received that {@link #handleRequest} has not handled. */
-  private boolean isRequestComplete() {
+  boolean isRequestComplete() {
     return assembler.hasHead() && decoder.isPaused();
   }
 
@@ -278,7 +253,7 @@
     if (part instanceof LastHttpContent) {
       state.completeReceiving();
       // Deferred until the whole read is processed, because it may include the client's close.
-      channel.eventLoop().execute(this::handleRequest);
+      channel.eventLoop().execute(() -> run(this::handleRequest));
     }
   }
 
@@ -291,7 +266,6 @@
     decoder.releaseHeaders();
     // From here on, the new owner of the body accounts for its bytes in the budget.
     updateBudget();
-    state.startHandling();
     keepAlive = HttpUtil.isKeepAlive(head);
     try {
       if (head.uri().equals(ClientProtocol.HEALTH_PATH)) {
@@ -305,6 +279,11 @@
     } catch (InvalidRequestException e) {
       body.release();
       rejectAndClose(e);
+    } catch (Throwable cause) {
+      if (state.isReceiving()) {
+        body.release();
+      }
+      throw cause;
     }
   }
 
@@ -312,16 +291,21 @@
    * Rejects a request that the gateway has not accepted, and closes the connection. Further bytes
    * are not read, because they may belong to this request.
    */
-  private void rejectAndClose(InvalidRequestException rejection) {
+  void rejectAndClose(InvalidRequestException rejection) {
     handler.log().count(NodeLog.Event.BAD_REQUEST);
-    keepAlive = false;
     assembler.discard();
-    decoder.stop();
-    channel.config().setAutoRead(false);
+    stopReading();
     String reason = rejection.getMessage() + "\n";
     respond(rejection.status(), Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8), 0);
   }
 
+  /** Makes the connection close with its next response; nothing more is read before that. */
+  private void stopReading() {
+    keepAlive = false;
+    decoder.stop();
+    channel.config().setAutoRead(false);
+  }
+
   /**
    * Writes the final response to the request that was received last, then resumes decoding or
    * closes the connection.
@@ -334,7 +318,7 @@
     state.endRequest(close);
     responses.write(status, content, retryAfterNanos, close);
     if (!state.isClosing()) {
-      channel.eventLoop().execute(this::resumeDecoding);
+      channel.eventLoop().execute(() -> run(this::resumeDecoding));
     }
   }
 
@@ -383,13 +367,27 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    closeOnError(cause);
+    handleError(cause);
   }
 
-  private void closeOnError(Throwable cause) {
-    if (!(cause instanceof IOException || cause instanceof DecoderException)) {
-      ErrorLog.report("client connection", cause);
+  /**
+   * Closes the connection because of an exception, unless it is an error of this node: then a
+   * request that has been received, in part or as a whole, still gets its response.
+   */
+  private void handleError(Throwable cause) {
+    if (cause instanceof IOException || cause instanceof DecoderException) {
+      channel.close();
+      return;
+    }
+    ErrorLog.report("client connection", cause);
+    handler.log().count(NodeLog.Event.EVENT_FAILED);
+    if (state.hasOpenRequest()) {
+      stopReading();
+    } else if (state.isReceiving() && !state.isClosing()) {
+      rejectAndClose(
+          new InvalidRequestException(HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal error"));
+    } else {
+      channel.close();
     }
-    channel.close();
   }
 }
--- a/src/main/java/merlinrouter/node/downstream/ConnectionState.java
+++ b/src/main/java/merlinrouter/node/downstream/ConnectionState.java
@@ -95,19 +95,16 @@
     receivedRequest = true;
   }
 
-  /** Records that the received request is being handled. */
-  void startHandling() {
-    receiving = false;
-  }
-
-  /** Records that a request waits for its response. */
+  /** Records that the received request is open: it waits for its response. */
   void setOpenRequest(OpenRequest request) {
     openRequest = request;
+    receiving = false;
   }
 
-  /** Records that the open request was not accepted. */
+  /** Records that the open request was not accepted: it is still to be handled. */
   void clearOpenRequest() {
     openRequest = null;
+    receiving = true;
   }
 
   /**
--- a/src/main/java/merlinrouter/node/downstream/RequestSubmitter.java
+++ b/src/main/java/merlinrouter/node/downstream/RequestSubmitter.java
@@ -45,10 +45,21 @@
             responseSink,
             parsed.newTimeline(arrivedNanos));
     state.setOpenRequest(request);
-    if (!handler.accept(request)) {
-      state.clearOpenRequest();
+    if (!accept(request)) {
       throw new InvalidRequestException(
           HttpResponseStatus.CONFLICT, "a request of this id is open or was handled");
     }
   }
+
+  private boolean accept(OpenRequest request) {
+    boolean accepted = false;
+    try {
+      accepted = handler.accept(request);
+    } finally {
+      if (!accepted) {
+        state.clearOpenRequest();
+      }
+    }
+    return accepted;
+  }
 }
