Accept clients once discovery has told what has changed in the configured list

Cause: the listening socket was bound before the first watch had answered, and the node served with the list of its configuration until then.

Change: the socket is bound once a list, changes or the empty line of an unchanged list have been received, or after the 1 s for which the health check waits, so that a node also starts while discovery is down. The health check is as before, so nodes are ready no later.

Evidence: the new test's first watch ends without a list; before, the request went to the endpoint that the next list leaves out. EndpointListTest withheld the first list until after the start and relied on less than 0.5 s for the start; its discovery now tells first that nothing has changed, and the rest of the test is as it was.

--- a/src/main/java/merlinrouter/node/EdgeNode.java
+++ b/src/main/java/merlinrouter/node/EdgeNode.java
@@ -95,14 +95,16 @@
   }
 
   /**
-   * Starts serving. Blocks until the listening socket is bound; never returns if a drain starts
-   * before that.
+   * Starts serving. Blocks until discovery has told what has changed in the known list of
+   * endpoints, for a limited time, and the listening socket is bound; never returns if a drain
+   * starts before that.
    *
    * @throws ExecutionException if the node cannot start
    * @throws InterruptedException if the thread is interrupted while it waits
    */
   public void start() throws ExecutionException, InterruptedException {
     loop.submit(this::startOnLoop).get();
+    discovery.firstUpdate().get();
     clients.bind().get();
   }
 
--- a/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
+++ b/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import merlinrouter.model.EndpointUpdateType;
@@ -60,6 +61,7 @@
   private Future<?> nextWatch;
   private EndpointListMerger merger;
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
+  private final CompletableFuture<Void> firstUpdate = new CompletableFuture<>();
   private boolean ready;
   private int totalWatches;
 
@@ -108,10 +110,24 @@
   public void start(EndpointList known) {
     merger = new EndpointListMerger(known);
     // An unavailable discovery must not keep the node from serving with the list that it has.
-    loop.schedule(() -> ready = true, READY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    loop.schedule(this::setReady, READY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     openWatch();
   }
 
+  private void setReady() {
+    ready = true;
+    firstUpdate.complete(null);
+  }
+
+  /**
+   * Returns a future that completes once discovery has delivered an update, or has told that there
+   * is none, or the timeout for that has passed: before, the known list may name endpoints that
+   * drain. May be called on any thread.
+   */
+  public CompletableFuture<Void> firstUpdate() {
+    return firstUpdate;
+  }
+
   /** Returns whether an update was received or the timeout for the first one has passed. */
   public boolean isReady() {
     return ready;
@@ -284,6 +300,11 @@
     }
   }
 
+  /** Handles an empty line, by which discovery tells that there is no further change. */
+  void unchanged() {
+    firstUpdate.complete(null);
+  }
+
   /** Handles entries of an incomplete list, which take effect before the rest of it arrives. */
   void entriesReceived(EndpointList part) {
     EndpointList changes = merger.mergePart(part);
@@ -300,7 +321,7 @@
     EndpointList merged = merger.mergeList(update);
     listener.endpointsUpdated(
         merged, merged.complete() ? EndpointUpdateType.FULL : EndpointUpdateType.DELTA);
-    ready = true;
+    setReady();
     backoffMillis = INITIAL_BACKOFF_MILLIS;
   }
 }
--- a/src/main/java/merlinrouter/node/discovery/EndpointListHandler.java
+++ b/src/main/java/merlinrouter/node/discovery/EndpointListHandler.java
@@ -55,6 +55,9 @@
     }
     if (parser.isBetweenLists()) {
       client.upToDate(channel);
+      if (text.isReadable()) {
+        client.unchanged();
+      }
     } else {
       client.listPartReceived(channel, parser.isLastPartWhiteSpace());
       scheduleEntryDelivery();
--- a/src/test/java/merlinrouter/node/DiscoveryWatchTest.java
+++ b/src/test/java/merlinrouter/node/DiscoveryWatchTest.java
@@ -18,6 +18,8 @@
  */
 @Timeout(120)
 class DiscoveryWatchTest extends NodeFixture {
+  private static final String EMPTY_LAST_CHUNK = "0\r\n\r\n";
+
   /** Updates that a silent watch misses count as delivered 6 s after the start of the silence. */
   @Test
   void aSilentWatchIsReplacedBeforeMissedUpdatesCountAsDelivered() throws Exception {
@@ -46,6 +48,37 @@
         "the silent watch is still open after 6 s");
   }
 
+  /**
+   * A restarted node must not send requests to endpoints that drain, which its configuration lists
+   * as ready, only because its first watch ends without a list.
+   */
+  @Test
+  void aNodeWhoseFirstWatchTellsNothingDoesNotServeWithItsConfiguredList() throws Exception {
+    ScriptedServer draining = startOkServer("draining");
+    ScriptedServer ready = startOkServer("ready");
+    AtomicInteger watches = new AtomicInteger();
+    discovery =
+        startServer(
+            request ->
+                request.respond(
+                    watches.getAndIncrement() == 0
+                        ? ScriptedServer.CHUNKED_RESPONSE_HEAD + EMPTY_LAST_CHUNK
+                        : watchResponse(
+                            fullListJson(6, readyEndpointJson("s-1", ready.address())))));
+    EdgeNode node = startNode(configJson(readyEndpointJson("s-0", draining.address())));
+    assertEquals("200", requestStatus(connect(node), "t-1"));
+    assertEquals(0, draining.received.size(), "requests sent to the draining endpoint");
+  }
+
+  /** The configured list is all that a node has while discovery does not respond. */
+  @Test
+  void aNodeServesWithItsConfiguredListIfDiscoveryDoesNotRespond() throws Exception {
+    ScriptedServer server = startOkServer("x");
+    discovery = startServer(request -> {});
+    EdgeNode node = startNode(configJson(readyEndpointJson("s-0", server.address())));
+    assertEquals("200", requestStatus(connect(node), "t-1"));
+  }
+
   /**
    * With a single watch, a list sent after discovery has recovered would be received only after the
    * timeout of the watch without a response.
--- a/src/test/java/merlinrouter/node/EndpointListTest.java
+++ b/src/test/java/merlinrouter/node/EndpointListTest.java
@@ -28,8 +28,9 @@
         startServer(
             request -> {
               if (request.startLine().contains("after=5")) {
+                request.respond(UNCHANGED_LIST);
                 proceed.join();
-                request.respond(watchResponse(update) + "0\r\n\r\n");
+                request.respond(ScriptedServer.chunk(update + "\n") + "0\r\n\r\n");
               }
             });
     EdgeNode node = startNode(old);
