Answer a request with the id of one that the host has just failed at once

What a caller saw: a request whose client had sent it again on a new connection, just after the node had given the first copy up, got no response until its deadline.

Cause: the host stops tracking a request that it fails before it has reported the end of its attempt to the gateway, in a later task. A request with the same id whose turn came in between was accepted by the host and ignored by the gateway, unless the first one waited for the counter.

Change: the gateway rejects such a request at once, or fails it if the first one may have been executed and a retry by the client is not harmless.

Evidence: both new tests of FinalResponseTest failed before; the explorations of event orders, the simulator's adapter and the races of clients pass.

--- a/src/main/java/merlinrouter/gateway/Gateway.java
+++ b/src/main/java/merlinrouter/gateway/Gateway.java
@@ -110,10 +110,7 @@
     }
     PendingRequest existing = dispatcher.get(request.id());
     if (existing != null) {
-      if (existing.state() == RequestState.ABANDONED_AWAITING_COUNTER) {
-        // Neither request was attempted, and the host no longer tracks the existing one.
-        actions.reject(request.id(), 0);
-      }
+      dispatcher.endDuplicate(existing);
       return;
     }
     PendingRequest pending = open(request);
--- a/src/main/java/merlinrouter/gateway/GatewayEvents.java
+++ b/src/main/java/merlinrouter/gateway/GatewayEvents.java
@@ -18,9 +18,8 @@
 
   /**
    * Reports a new request; exactly one final response is due unless the client disconnects. Hosts
-   * must not deliver a request with the id of an open one, which the gateway ignores, unless the
-   * client of the open one has disconnected during its counter call: then the gateway rejects the
-   * new request.
+   * must not deliver a request with the id of an open one. If the host has ended the other one
+   * without having reported its end yet, the gateway rejects or fails the new one at once.
    */
   void requestReceived(long nowNanos, ClientRequest request);
 
--- a/src/main/java/merlinrouter/gateway/RequestDispatcher.java
+++ b/src/main/java/merlinrouter/gateway/RequestDispatcher.java
@@ -238,6 +238,18 @@
     close(pending);
   }
 
+  /**
+   * Ends a request with the id of one that the host no longer tracks, but whose end has not been
+   * reported yet. The new one is not attempted.
+   */
+  void endDuplicate(PendingRequest existing) {
+    if (RetryPolicy.isClientRetryHarmless(existing.requestClass(), existing.history())) {
+      actions.reject(existing.id(), 0);
+    } else {
+      actions.fail(existing.id());
+    }
+  }
+
   /** Returns the expected time, by Little's law, until all requests of its queue are forwarded. */
   private double queueDrainSeconds(PendingRequest pending) {
     double queuedPerLevel = pending.queue().size() / concurrencyController.level();
--- a/src/test/java/merlinrouter/gateway/FinalResponseTest.java
+++ b/src/test/java/merlinrouter/gateway/FinalResponseTest.java
@@ -1,6 +1,7 @@
 package merlinrouter.gateway;
 
 import static merlinrouter.settings.TestSettings.IDEMPOTENT;
+import static merlinrouter.settings.TestSettings.KEY_IN_CELL;
 import static merlinrouter.settings.TestSettings.NON_IDEMPOTENT;
 import static merlinrouter.settings.TestSettings.UNLIMITED;
 import static merlinrouter.time.Nanos.PER_SECOND;
@@ -74,4 +75,36 @@
     assertEquals(List.of(id), hostWithCounter.rejected);
     assertEquals(List.of(), hostWithCounter.attempts);
   }
+
+  /**
+   * The end of the first request's attempt, which the host did not start, is yet to be reported.
+   */
+  @Test
+  void aRequestWithTheIdOfOneThatTheHostHasFailedIsRejectedAtOnce() {
+    host.withEndpoints(1);
+    String id = host.request(NON_IDEMPOTENT, 1);
+    receiveAgain(id, NON_IDEMPOTENT);
+    assertEquals(List.of(id), host.rejected);
+    host.endAttempt(id, Outcome.NOT_SENT, true);
+    assertEquals(List.of(id), host.rejected);
+    assertEquals(1, host.attemptsOf(id).size());
+  }
+
+  /** The first request may have been executed: a further one would execute it again. */
+  @Test
+  void aRequestWithTheIdOfOneThatMayHaveBeenExecutedIsFailedAtOnce() {
+    host.withEndpoints(2);
+    String id = host.request(KEY_IN_CELL, 1);
+    host.endAttempt(id, Outcome.RESET);
+    assertEquals(2, host.attemptsOf(id).size());
+    receiveAgain(id, KEY_IN_CELL);
+    assertEquals(List.of(id), host.failed);
+    assertEquals(List.of(), host.rejected);
+  }
+
+  private void receiveAgain(String id, int classIndex) {
+    host.gateway.requestReceived(
+        host.nowNanos,
+        new ClientRequest(id, classIndex, 0, 1, host.nowNanos + 3 * PER_SECOND, 1, 3, 0, false));
+  }
 }
