Respond to requests from before a shutdown before the process may be killed

What a caller saw: a request received just before SIGTERM, with more time left than there is until SIGKILL, got no response if its endpoint was slow: the kill came first.

Cause: only the deadlines of requests received during the shutdown were limited.

Change: requests without a response at that limit (3.55 s after SIGTERM, earlier where all deadlines are shorter) are failed, whatever their own deadlines.

Evidence: the new test failed before: no response 3.7 s after the start of the drain, by a timer of the node's own event loop.

--- a/src/main/java/merlinrouter/node/EdgeNode.java
+++ b/src/main/java/merlinrouter/node/EdgeNode.java
@@ -143,8 +143,8 @@
   }
 
   /**
-   * Starts a graceful shutdown. All accepted requests still get responses; requests received from
-   * now on have their deadlines before the process may be killed. May be called on any thread.
+   * Starts a graceful shutdown. All accepted requests still get responses, before the process may
+   * be killed. May be called on any thread.
    *
    * @return a future that completes when no client connection is open any more
    */
@@ -153,6 +153,7 @@
     loop.execute(
         () -> {
           shutdownDeadline.shutdownStarted(clock.nowNanos());
+          host.failOpenRequestsAfter(shutdownDeadline.maxShutdownNanos());
           long graceNanos = clients.startDraining() ? ACCEPT_GRACE_NANOS : 0;
           EventLoops.runAfterNextPoll(loop, graceNanos, () -> clients.stopAccepting(done));
         });
--- a/src/main/java/merlinrouter/node/GatewayHost.java
+++ b/src/main/java/merlinrouter/node/GatewayHost.java
@@ -144,6 +144,14 @@
     }
   }
 
+  /** Fails the requests that have no response after a time, whatever their deadlines. */
+  void failOpenRequestsAfter(long delayNanos) {
+    loop.schedule(
+        () -> List.copyOf(openRequests.values()).forEach(this::failOverdue),
+        delayNanos + OVERDUE_NANOS,
+        TimeUnit.NANOSECONDS);
+  }
+
   /** Fails a request that the gateway has not responded to, because each is owed a response. */
   private void failOverdue(OpenRequest request) {
     endOnError(request, () -> failIfOwed(request));
--- a/src/main/java/merlinrouter/node/ShutdownDeadline.java
+++ b/src/main/java/merlinrouter/node/ShutdownDeadline.java
@@ -5,9 +5,9 @@
 import merlinrouter.settings.RequestClass;
 
 /**
- * Limits the deadlines of requests that are received during a graceful shutdown: the process may be
- * killed when the longest deadline of a request class and a margin have passed since SIGTERM, and
- * requests that are open then get no response. Requests received earlier keep their deadlines.
+ * Limits the deadlines of requests during a graceful shutdown: the process may be killed when the
+ * longest deadline of a request class and a margin have passed since SIGTERM, and requests that are
+ * open then get no response.
  */
 final class ShutdownDeadline {
   /** If the longest deadline exceeds this, it counts as this. */
@@ -34,6 +34,11 @@
     latestNanos = Math.min(latestNanos, nowNanos + maxShutdownNanos);
   }
 
+  /** Returns how long after the start of a shutdown all responses are due. */
+  long maxShutdownNanos() {
+    return maxShutdownNanos;
+  }
+
   /** Returns the deadline, or the time by which all responses are due if that is earlier. */
   long limit(long deadlineNanos) {
     return Math.min(deadlineNanos, latestNanos);
--- a/src/test/java/merlinrouter/node/ShutdownRaceTest.java
+++ b/src/test/java/merlinrouter/node/ShutdownRaceTest.java
@@ -21,6 +21,9 @@
 class ShutdownRaceTest extends EventLoopFixture {
   private static final long STALL_BEYOND_GRACE_MILLIS = 700;
 
+  /** The longest deadline, counted as 3 s, and 0.7 s. */
+  private static final long EARLIEST_KILL_MILLIS = 3_700;
+
   /** Much longer than the 3.7 s from SIGTERM to SIGKILL, and less than a request's timeout. */
   private static final long MAX_RESPONSE_MILLIS = 15_000;
 
@@ -63,6 +66,17 @@
     awaitOnEventLoop(node, () -> node.discovery().openWatchCount() == 1);
   }
 
+  /** A response must precede the SIGKILL, whatever deadline a request was accepted with. */
+  @Test
+  void requestReceivedBeforeTheShutdownGetsAResponseBeforeTheKill() throws Exception {
+    EdgeNode node = startNode(startServer(request -> {}));
+    CompletableFuture<String> response = callOnEventLoop(node, () -> submitRequest(node, "t-1"));
+    node.drain();
+    boolean respondedBeforeKill =
+        node.loop().schedule(response::isDone, EARLIEST_KILL_MILLIS, TimeUnit.MILLISECONDS).get();
+    assertTrue(respondedBeforeKill);
+  }
+
   /** Connects and requests within the grace period count, however late the loop handles them. */
   @Test
   void requestsBeforeTheGracePeriodEndsAreServedDespiteEventLoopStall() throws Exception {
