Let a client that reads slowly have its response to the end when its connection closes

What a caller saw: a drain, an eviction or the idle timeout cut off a response of which the client had not taken the last bytes yet.

Cause: a connection counted as idle from the moment at which the response was handed to the channel, whether it had been written or not, and was closed without waiting for the rest.

A drain closes such a connection once the response is written.

Evidence: SlowReaderTest fills the buffers of a connection and drains the listener; with the closing of idle connections as it was (trial: the new check taken out of it), the response ends in the middle. Evictions and the idle timeout use the same check and have no test of their own.

--- a/src/main/java/merlinrouter/node/downstream/ClientConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientConnection.java
@@ -94,7 +94,7 @@
 
   @Override
   public boolean isBetweenRequests() {
-    return state.isBetweenRequests();
+    return state.isBetweenRequests() && !responses.isInProgress();
   }
 
   @Override
@@ -172,7 +172,7 @@
     long nowNanos = System.nanoTime();
     if (state.isReceiveTimedOut(nowNanos)) {
       receiveTimeout.rejectUnlessReceived();
-    } else if (state.isIdleTimedOut(nowNanos)) {
+    } else if (!responses.isInProgress() && state.isIdleTimedOut(nowNanos)) {
       initiateClose("idle timeout");
     }
   }
@@ -316,12 +316,19 @@
   void respond(HttpResponseStatus status, ByteBuf content, long retryAfterNanos) {
     boolean close = !keepAlive || isCloseDue() && !decoder.hasPartOfRequest();
     state.endRequest(close);
-    responses.write(status, content, retryAfterNanos, close);
+    responses.write(status, content, retryAfterNanos, close).addListener(written -> drainIfIdle());
     if (!state.isClosing()) {
       channel.eventLoop().execute(() -> run(this::resumeDecoding));
     }
   }
 
+  /** Closes the connection if only its response has kept it from being closed in a drain. */
+  private void drainIfIdle() {
+    if (!registry.isAccepting() && !isClosing() && isBetweenRequests()) {
+      initiateClose("graceful shutdown");
+    }
+  }
+
   /**
    * Returns whether the connection is to close with its next response. Requests that have been read
    * behind the one that is answered are answered first.
--- a/src/main/java/merlinrouter/node/downstream/ClientListener.java
+++ b/src/main/java/merlinrouter/node/downstream/ClientListener.java
@@ -197,6 +197,11 @@
     return registry.readingPausedCount();
   }
 
+  /** Returns how many connections have received a request, are kept and are idle. */
+  int idleConnectionCount() {
+    return registry.idleCount();
+  }
+
   /** Returns whether the listening socket has been bound. */
   public boolean isListening() {
     return listeningChannel != null;
--- a/src/main/java/merlinrouter/node/downstream/ConnectionRegistry.java
+++ b/src/main/java/merlinrouter/node/downstream/ConnectionRegistry.java
@@ -97,6 +97,11 @@
    * clients send requests in turn, the cost is a new connection for each of their requests.
    */
   boolean hasMaxIdleConnections() {
+    return idleCount() >= maxIdleConnections;
+  }
+
+  /** Returns how many connections have received a request, are kept and are idle. */
+  int idleCount() {
     int idle = 0;
     for (TrackedConnection connection : connections) {
       boolean isIdle =
@@ -105,7 +110,7 @@
               && !connection.isClosing();
       idle += isIdle ? 1 : 0;
     }
-    return idle >= maxIdleConnections;
+    return idle;
   }
 
   /** Enforces the timeouts of all connections. */
--- a/src/main/java/merlinrouter/node/downstream/TrackedConnection.java
+++ b/src/main/java/merlinrouter/node/downstream/TrackedConnection.java
@@ -11,7 +11,10 @@
   /** Returns whether it has received at least one whole request. */
   boolean hasReceivedRequest();
 
-  /** Returns whether no request is open on it or received in part. */
+  /**
+   * Returns whether no request is open on it or received in part, and no response is being written
+   * that its client reads, however slowly.
+   */
   boolean isBetweenRequests();
 
   /**
