Reconnect to a counter whose host name could not be resolved

What a caller saw: after one connect to the counter that failed in the resolution of its name, each call to that shard ran into its timeout until a reload gave another address, and quotas were divided among the gateways meanwhile.

Cause: such a failure is reported while the connection is being constructed. It closed itself before the shard knew it, and the shard then kept the closed connection for ever.

Change: a failed connect closes the connection in a later task, as where the process could not create a socket. The next call connects again; the rate of calls bounds the connects.

Evidence: the new test failed before: its call had not ended after half of its timeout, by a timer of the same event loop. Now two calls fail at once, and one after a switch succeeds.

--- a/src/main/java/merlinrouter/node/counter/CounterConnection.java
+++ b/src/main/java/merlinrouter/node/counter/CounterConnection.java
@@ -72,7 +72,8 @@
             connected = true;
             shard.writeWaiting();
           } else {
-            close();
+            // A failed resolution is reported before the shard knows this connection.
+            loop.execute(this::close);
           }
         });
   }
--- a/src/test/java/merlinrouter/node/CounterClientTest.java
+++ b/src/test/java/merlinrouter/node/CounterClientTest.java
@@ -9,7 +9,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
@@ -281,4 +283,25 @@
     client = newClient(configWithCounter(counter, SHORT_CALL_TIMEOUT_NANOS));
     assertAnsweredWithin(MAX_CALLS_WITH_LOST_RESPONSES);
   }
+
+  /** The counter's host name cannot be resolved for a while: no other connection was opened. */
+  @Test
+  void callsFailAtOnceWhileTheHostNameCannotBeResolved() throws Exception {
+    SocketAddress unresolvable = InetSocketAddress.createUnresolved("x".repeat(300), 80);
+    loop.submit(() -> client.switchTo(unresolvable)).get();
+    for (int i = 1; i <= 2; i++) {
+      int calls = i;
+      add(1, 1);
+      boolean failedBeforeItsTimeout =
+          loop.schedule(() -> results.size() == calls, CALL_TIMEOUT_NANOS / 2, TimeUnit.NANOSECONDS)
+              .get();
+      assertTrue(failedBeforeItsTimeout, "call " + i);
+    }
+    SocketAddress address = configWithCounter(counter, CALL_TIMEOUT_NANOS).counter();
+    loop.submit(() -> client.switchTo(address)).get();
+    add(1, 1);
+    assertEquals("1 CONNECT_FAILED 0.0", results.take());
+    assertEquals("1 CONNECT_FAILED 0.0", results.take());
+    assertEquals("1 OK 1.0", results.take());
+  }
 }
