Warm up although files of a killed process with the same id exist

What a caller saw: a node that was started again with the process id of one that had been killed in its warm-up served without one, and rejected most of its first requests.

Cause: the folder and the probe's file were named by the process id alone.

Change: their names also have the time of the monotonic clock.

Evidence: the new test, which leaves such a folder and file, failed before.

--- a/src/main/java/merlinrouter/node/warmup/UnixSockets.java
+++ b/src/main/java/merlinrouter/node/warmup/UnixSockets.java
@@ -18,7 +18,7 @@
    * @param folder where a temporary socket file is created
    */
   static boolean areUsable(Path folder) {
-    Path file = folder.resolve("probe-" + ProcessHandle.current().pid());
+    Path file = folder.resolve(uniqueName("probe"));
     try {
       UnixDomainSocketAddress address = UnixDomainSocketAddress.of(file);
       try (ServerSocketChannel listening = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
@@ -32,4 +32,13 @@
       return false;
     }
   }
+
+  /**
+   * Returns a name for a temporary file that differs from those of other processes, also of an
+   * earlier one with the same id that was killed.
+   */
+  static String uniqueName(String prefix) {
+    // A random name would add the initialization of a random number generator to the start.
+    return prefix + "-" + ProcessHandle.current().pid() + "-" + Long.toHexString(System.nanoTime());
+  }
 }
--- a/src/main/java/merlinrouter/node/warmup/WarmUp.java
+++ b/src/main/java/merlinrouter/node/warmup/WarmUp.java
@@ -44,8 +44,7 @@
   private WarmUp(NodeConfig config, int minRequests, Path parent) throws IOException {
     this.config = config;
     clients = new StubClients(loop, config, minRequests);
-    // A random name would add the initialization of a random number generator to the start.
-    folder = Files.createDirectory(parent.resolve("warm-up-" + ProcessHandle.current().pid()));
+    folder = Files.createDirectory(parent.resolve(UnixSockets.uniqueName("warm-up")));
   }
 
   /**
--- a/src/test/java/merlinrouter/node/WarmUpTest.java
+++ b/src/test/java/merlinrouter/node/WarmUpTest.java
@@ -37,6 +37,17 @@
     assertEquals(0, fileCount(), "the warm-up must leave no files");
   }
 
+  /** A container that is started again often has the same process id. */
+  @Test
+  void filesOfAKilledProcessWithTheSameIdDoNotKeepTheNodeFromItsWarmUp() throws Exception {
+    long pid = ProcessHandle.current().pid();
+    Files.createDirectory(folder.resolve("warm-up-" + pid));
+    Files.createFile(folder.resolve("probe-" + pid));
+    NodeConfig config = NodeConfigReader.parse(configJson());
+    assertTrue(WarmUp.run(config, 10, 60_000, folder) > 0);
+    assertEquals(2, fileCount(), "files of other processes must stay");
+  }
+
   @Test
   void warmUpEndsAtItsTimeLimitAndIsSkippedWithoutAFolder() throws Exception {
     NodeConfig config = NodeConfigReader.parse(configJson());
