--- a/src/main/java/merlinrouter/node/EdgeNode.java
+++ b/src/main/java/merlinrouter/node/EdgeNode.java
@@ -95,9 +95,8 @@
   }
 
   /**
-   * Starts serving. Blocks until discovery has told what has changed in the known list of
-   * endpoints, for a limited time, and the listening socket is bound; never returns if a drain
-   * starts before that.
+   * Starts serving. Blocks until discovery has reported the changes of the known endpoint list, for
+   * a limited time, and the listening socket is bound; never returns if a drain starts before that.
    *
    * @throws ExecutionException if the node cannot start
    * @throws InterruptedException if the thread is interrupted while it waits
--- a/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
+++ b/src/main/java/merlinrouter/node/discovery/DiscoveryClient.java
@@ -120,9 +120,9 @@
   }
 
   /**
-   * Returns a future that completes once discovery has delivered an update, or has told that there
-   * is none, or the timeout for that has passed: before, the known list may name endpoints that
-   * drain. May be called on any thread.
+   * Returns a future that completes once discovery has delivered an update, or has reported that
+   * there is none, or the timeout for that has passed: before, the known list may name endpoints
+   * that drain. May be called on any thread.
    */
   public CompletableFuture<Void> firstUpdate() {
     return firstUpdate;
@@ -300,7 +300,7 @@
     }
   }
 
-  /** Handles an empty line, by which discovery tells that there is no further change. */
+  /** Handles an empty line, by which discovery reports that there is no further change. */
   void unchanged() {
     firstUpdate.complete(null);
   }
--- a/src/test/java/merlinrouter/node/downstream/ClientListenerFixture.java
+++ b/src/test/java/merlinrouter/node/downstream/ClientListenerFixture.java
@@ -18,6 +18,7 @@
 /** Runs a listener for clients without the rest of a node. */
 abstract class ClientListenerFixture {
   private static final int CLIENT_TIMEOUT_MILLIS = 20_000;
+  private static final int CLIENT_RECEIVE_BUFFER_BYTES = 4_096;
 
   final EventLoopGroup group = EventLoops.newSingleLoopGroup(NioIoHandler.newFactory());
 
@@ -92,7 +93,7 @@
   static Socket connect(ClientListener listener) throws Exception {
     Socket client = new Socket();
     client.setSoTimeout(CLIENT_TIMEOUT_MILLIS);
-    client.setReceiveBufferSize(1 << 12);
+    client.setReceiveBufferSize(CLIENT_RECEIVE_BUFFER_BYTES);
     client.connect((InetSocketAddress) listener.address(), CLIENT_TIMEOUT_MILLIS);
     return client;
   }
